Set down the shape: packages, core types, one path end to end

Change: the workspace of seven packages, the core types one to a file, the task runtime (bounded mailboxes woken by eventfd), packet parsing, settings from YAML with file, line and key in errors, a packet and a request front end, admin endpoints, the bench report and the contract headers for flows, requests and control messages. `make check` formats, lints, builds and tests under the address, undefined behaviour and thread sanitizers.

Figures: the path test carries one request and one packet from a caller through a node to a stand-in target; a truncated and an empty datagram arrive nowhere.

Ruled out: GLib mutexes. The thread sanitizer cannot see into libglib and reported 24 false races in the mailbox; pthread mutexes leave none.

Conclusion: the shape holds one path; flow placement here is rank order only.

--- /dev/null
+++ b/core/include/core/flow_director.h
@@ -0,0 +1,50 @@
+#ifndef CORE_FLOW_DIRECTOR_H
+#define CORE_FLOW_DIRECTOR_H
+
+#include <core/node_view.h>
+#include <core/packet_event.h>
+#include <core/placement.h>
+#include <core/rule_set.h>
+
+/*
+ * Every decision about flows on one node: homes, records, exceptions, their
+ * mirror and their handover. Events go in with now_ms; messages to other nodes
+ * come out through the effects, unencoded.
+ */
+struct flow_director;
+struct flow_message;
+
+struct flow_effects {
+	void *context;
+	void (*send)(void *context, uint64_t to_node_id,
+		     const struct flow_message *message);
+};
+
+struct flow_director_options {
+	uint64_t flow_seed;
+	uint32_t flow_capacity;
+	uint32_t control_bytes_per_s;
+	struct flow_effects effects;
+};
+
+struct flow_director *
+flow_director_new(const struct flow_director_options *options);
+void flow_director_free(struct flow_director *director);
+void flow_director_set_rules(struct flow_director *director,
+			     const struct rule_set *rules, int64_t now_ms);
+void flow_director_set_nodes(struct flow_director *director,
+			     const struct node_view *view, int64_t now_ms);
+void flow_director_set_target_state(struct flow_director *director,
+				    uint64_t target_id, enum target_state state,
+				    int64_t now_ms);
+struct placement flow_director_packet(struct flow_director *director,
+				      const struct packet_event *event,
+				      int64_t now_ms);
+void flow_director_message(struct flow_director *director,
+			   uint64_t from_node_id,
+			   const struct flow_message *message, int64_t now_ms);
+void flow_director_leave(struct flow_director *director, int64_t now_ms);
+bool flow_director_may_stop(const struct flow_director *director);
+void flow_director_tick(struct flow_director *director, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/core/include/core/node_view.h
@@ -0,0 +1,24 @@
+#ifndef CORE_NODE_VIEW_H
+#define CORE_NODE_VIEW_H
+
+#include <core/node.h>
+#include <stdbool.h>
+
+/*
+ * The nodes of a region as one node sees them at one moment, sorted by id.
+ * Views of different nodes may differ; decisions must bear that.
+ */
+struct node_view;
+
+struct node_view *node_view_new(uint64_t self_id, uint64_t version,
+				const struct node *nodes, uint32_t node_count);
+struct node_view *node_view_copy(const struct node_view *view);
+void node_view_free(struct node_view *view);
+uint64_t node_view_self_id(const struct node_view *view);
+uint64_t node_view_version(const struct node_view *view);
+uint32_t node_view_count(const struct node_view *view);
+const struct node *node_view_at(const struct node_view *view, uint32_t index);
+const struct node *node_view_find(const struct node_view *view,
+				  uint64_t node_id);
+
+#endif
--- /dev/null
+++ b/core/include/core/request_director.h
@@ -0,0 +1,86 @@
+#ifndef CORE_REQUEST_DIRECTOR_H
+#define CORE_REQUEST_DIRECTOR_H
+
+#include <core/attempt_outcome.h>
+#include <core/placement.h>
+#include <core/refusal.h>
+#include <core/request_event.h>
+#include <core/rule_set.h>
+#include <glib.h>
+
+/*
+ * Every decision about requests on one node: admission, queues, limits,
+ * attempts, retries, cancellation and drain. Events go in with now_ms; what is
+ * to be done comes out through the effects. A front end reports how attempts
+ * end and does nothing else of its own accord.
+ */
+struct request_director;
+
+/*
+ * start: open attempt_id of request_id at the placement's target and pass on
+ * the deadline. cancel: stop an attempt; its later events are ignored. refuse:
+ * answer the caller and forget the request. fail: the answer has begun, so cut
+ * the caller's connection. claim: ask the key's holders whether this request
+ * may run, then call request_director_claimed; release: tell the holders that
+ * the key's request did not run; settle: tell them that it ran. log: one line
+ * for each decision.
+ */
+struct request_effects {
+	void *context;
+	void (*start)(void *context, uint64_t request_id, uint64_t attempt_id,
+		      const struct placement *placement, int64_t deadline_ms);
+	void (*cancel)(void *context, uint64_t attempt_id);
+	void (*refuse)(void *context, uint64_t request_id,
+		       const struct refusal *refusal);
+	void (*fail)(void *context, uint64_t request_id, enum reason reason);
+	void (*claim)(void *context, const struct request_event *event);
+	void (*release)(void *context, const struct request_event *event);
+	void (*settle)(void *context, const struct request_event *event);
+	void (*log)(void *context, uint64_t request_id, uint64_t attempt_id,
+		    const struct placement *placement);
+};
+
+struct request_director_options {
+	uint64_t seed;
+	uint32_t request_limit;
+	uint32_t queue_limit;
+	/* Live nodes that share the targets; follows the node view. */
+	uint32_t node_count;
+	struct request_effects effects;
+};
+
+/* What the holders of an idempotency key answered. */
+enum claim_result {
+	CLAIM_GRANTED,
+	CLAIM_TAKEN,
+	CLAIM_UNKNOWN,
+};
+
+struct request_director *
+request_director_new(const struct request_director_options *options);
+void request_director_free(struct request_director *director);
+void request_director_set_rules(struct request_director *director,
+				const struct rule_set *rules, int64_t now_ms);
+void request_director_set_node_count(struct request_director *director,
+				     uint32_t node_count);
+void request_director_set_target_state(struct request_director *director,
+				       uint64_t target_id,
+				       enum target_state state, int64_t now_ms);
+void request_director_arrive(struct request_director *director,
+			     const struct request_event *event, int64_t now_ms);
+void request_director_claimed(struct request_director *director,
+			      uint64_t request_id, enum claim_result result,
+			      int64_t now_ms);
+void request_director_headers(struct request_director *director,
+			      uint64_t attempt_id, int64_t now_ms);
+void request_director_ended(struct request_director *director,
+			    uint64_t attempt_id, enum attempt_outcome outcome,
+			    int64_t now_ms);
+void request_director_caller_gone(struct request_director *director,
+				  uint64_t request_id, int64_t now_ms);
+void request_director_drain(struct request_director *director, int64_t now_ms);
+uint32_t request_director_open_count(const struct request_director *director);
+int64_t request_director_tick(struct request_director *director,
+			      int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/core/include/core/request_event.h
@@ -0,0 +1,18 @@
+#ifndef CORE_REQUEST_EVENT_H
+#define CORE_REQUEST_EVENT_H
+
+#include <core/flow_key.h>
+#include <core/work_class.h>
+
+/* A request as decisions see it: no header text, no body. */
+struct request_event {
+	uint64_t request_id;
+	uint32_t service_id;
+	uint64_t caller_hash;
+	bool is_repeatable;
+	bool has_idempotency_key;
+	struct flow_print idempotency_print;
+	int64_t deadline_ms;
+};
+
+#endif
--- /dev/null
+++ b/core/src/work_class.c
@@ -0,0 +1,27 @@
+#include <core/work_class.h>
+
+#include <string.h>
+
+static const char *const class_names[CLASS_COUNT] = {
+	[CLASS_URGENT] = "urgent",
+	[CLASS_NORMAL] = "normal",
+	[CLASS_BULK] = "bulk",
+};
+
+/* Names a class for rules, logs and counters. */
+const char *work_class_name(enum work_class work_class)
+{
+	return work_class < CLASS_COUNT ? class_names[work_class] : "invalid";
+}
+
+/* Reads a class name; returns false when the text names none. */
+bool work_class_parse(enum work_class *work_class, const char *text)
+{
+	for (int i = 0; i < CLASS_COUNT; i++) {
+		if (strcmp(text, class_names[i]) == 0) {
+			*work_class = (enum work_class)i;
+			return true;
+		}
+	}
+	return false;
+}
--- /dev/null
+++ b/ctl/include/ctl/bench.h
@@ -0,0 +1,15 @@
+#ifndef CTL_BENCH_H
+#define CTL_BENCH_H
+
+#include <ctl/bench_report.h>
+
+/* One experiment of shallotctl bench; run adds its figures to the report. */
+struct bench {
+	const char *name;
+	const char *summary;
+	void (*run)(struct bench_report *report);
+};
+
+extern const struct bench bench_decide;
+
+#endif
--- /dev/null
+++ b/ctl/include/ctl/command.h
@@ -0,0 +1,23 @@
+#ifndef CTL_COMMAND_H
+#define CTL_COMMAND_H
+
+/* The exit codes of shallotctl, as sysexits(3) numbers them above 2. */
+enum exit_code {
+	EXIT_CODE_DONE = 0,
+	EXIT_CODE_FAILED = 1,
+	EXIT_CODE_USAGE = 2,
+	EXIT_CODE_BAD_DATA = 65,
+	EXIT_CODE_UNAVAILABLE = 69,
+};
+
+/* One subcommand; run gets its own argc and argv, its name first. */
+struct command {
+	const char *name;
+	const char *summary;
+	int (*run)(int argc, char **argv);
+};
+
+extern const struct command bench_command;
+extern const struct command check_command;
+
+#endif
--- /dev/null
+++ b/ctl/src/bench_report.c
@@ -0,0 +1,70 @@
+#include <ctl/bench_report.h>
+
+#include <glib.h>
+#include <stdio.h>
+
+struct bench_report {
+	const char *bench_name;
+	bool is_met;
+};
+
+static const char *const side_texts[] = {
+	[BOUND_NONE] = "-",
+	[BOUND_AT_MOST] = "<=",
+	[BOUND_AT_LEAST] = ">=",
+};
+
+/* Makes a report; the caller frees it with bench_report_free. */
+struct bench_report *bench_report_new(const char *bench_name)
+{
+	struct bench_report *report = g_new0(struct bench_report, 1);
+
+	report->bench_name = bench_name;
+	report->is_met = true;
+	return report;
+}
+
+/* Frees a report; NULL is allowed. */
+void bench_report_free(struct bench_report *report)
+{
+	g_free(report);
+}
+
+static bool is_within(double value, enum bench_bound side, double bound)
+{
+	switch (side) {
+	case BOUND_AT_MOST:
+		return value <= bound;
+	case BOUND_AT_LEAST:
+		return value >= bound;
+	case BOUND_NONE:
+		return true;
+	}
+	return true;
+}
+
+/*
+ * Prints name, value, unit and bound, tab-separated, and a fifth column that
+ * says whether the bound was missed. A value that is not a number misses it.
+ */
+void bench_report_figure(struct bench_report *report, const char *name,
+			 double value, const char *unit, enum bench_bound side,
+			 double bound)
+{
+	bool is_met = is_within(value, side, bound);
+
+	printf("%s.%s\t%.6g\t%s\t", report->bench_name, name, value, unit);
+	if (side == BOUND_NONE)
+		printf("-");
+	else
+		printf("%s %.6g", side_texts[side], bound);
+	printf("%s\n", is_met ? "" : "\tMISSED");
+	fflush(stdout);
+	report->is_met = report->is_met && is_met;
+}
+
+/* Tells whether every figure so far met its bound. */
+bool bench_report_is_met(const struct bench_report *report)
+{
+	return report->is_met;
+}
--- /dev/null
+++ b/daemon/include/daemon/admin_task.h
@@ -0,0 +1,21 @@
+#ifndef DAEMON_ADMIN_TASK_H
+#define DAEMON_ADMIN_TASK_H
+
+#include <daemon/settings.h>
+#include <task/task.h>
+
+/* Serves /metrics, /healthz and /readyz on the admin address. */
+struct admin_task;
+
+struct admin_options {
+	const struct settings *settings;
+	struct task *const *sources;
+	uint32_t source_count;
+};
+
+struct admin_task *admin_task_new(const struct admin_options *options,
+				  GError **error);
+void admin_task_free(struct admin_task *admin);
+struct task *admin_task_task(struct admin_task *admin);
+
+#endif
--- /dev/null
+++ b/daemon/include/daemon/metrics_message.h
@@ -0,0 +1,29 @@
+#ifndef DAEMON_METRICS_MESSAGE_H
+#define DAEMON_METRICS_MESSAGE_H
+
+#include <glib.h>
+#include <task/counter_set.h>
+#include <task/task.h>
+
+/* Asks a task for its counters; the task answers to reply_to. */
+struct metrics_request {
+	struct message message;
+	struct task *reply_to;
+	uint64_t request_id;
+};
+
+/* The text of one task's counters. */
+struct metrics_reply {
+	struct message message;
+	uint64_t request_id;
+	GString *text;
+};
+
+extern const struct message_type metrics_request_type;
+extern const struct message_type metrics_reply_type;
+
+struct message *metrics_request_new(struct task *reply_to, uint64_t request_id);
+void metrics_request_answer(struct message *request,
+			    const struct counter_set *counters);
+
+#endif
--- /dev/null
+++ b/daemon/include/daemon/nodes_message.h
@@ -0,0 +1,18 @@
+#ifndef DAEMON_NODES_MESSAGE_H
+#define DAEMON_NODES_MESSAGE_H
+
+#include <core/node_view.h>
+#include <task/message.h>
+
+/* Gives a task this node's view of the nodes; the task takes it out. */
+struct nodes_message {
+	struct message message;
+	struct node_view *view;
+};
+
+extern const struct message_type nodes_message_type;
+
+struct message *nodes_message_new(const struct node_view *view);
+struct node_view *nodes_message_take(struct message *message);
+
+#endif
--- /dev/null
+++ b/daemon/include/daemon/packet_task.h
@@ -0,0 +1,16 @@
+#ifndef DAEMON_PACKET_TASK_H
+#define DAEMON_PACKET_TASK_H
+
+#include <daemon/settings.h>
+#include <task/log.h>
+#include <task/task.h>
+
+/* The packet front end: owns the packet socket and this node's flows. */
+struct packet_task;
+
+struct packet_task *packet_task_new(const struct settings *settings,
+				    GError **error);
+void packet_task_free(struct packet_task *packets);
+struct task *packet_task_task(struct packet_task *packets);
+
+#endif
--- /dev/null
+++ b/daemon/include/daemon/ready_message.h
@@ -0,0 +1,17 @@
+#ifndef DAEMON_READY_MESSAGE_H
+#define DAEMON_READY_MESSAGE_H
+
+#include <stdbool.h>
+#include <task/message.h>
+
+/* Tells the admin task whether this node takes new work. */
+struct ready_message {
+	struct message message;
+	bool is_ready;
+};
+
+extern const struct message_type ready_message_type;
+
+struct message *ready_message_new(bool is_ready);
+
+#endif
--- /dev/null
+++ b/daemon/include/daemon/request_task.h
@@ -0,0 +1,15 @@
+#ifndef DAEMON_REQUEST_TASK_H
+#define DAEMON_REQUEST_TASK_H
+
+#include <daemon/settings.h>
+#include <task/task.h>
+
+/* The request front end: ends callers' HTTP connections. */
+struct request_task;
+
+struct request_task *request_task_new(const struct settings *settings,
+				      GError **error);
+void request_task_free(struct request_task *requests);
+struct task *request_task_task(struct request_task *requests);
+
+#endif
--- /dev/null
+++ b/daemon/include/daemon/rules_message.h
@@ -0,0 +1,18 @@
+#ifndef DAEMON_RULES_MESSAGE_H
+#define DAEMON_RULES_MESSAGE_H
+
+#include <core/rule_set.h>
+#include <task/message.h>
+
+/* Gives a task the rules in force; the task takes the set out and owns it. */
+struct rules_message {
+	struct message message;
+	struct rule_set *rules;
+};
+
+extern const struct message_type rules_message_type;
+
+struct message *rules_message_new(const struct rule_set *rules);
+struct rule_set *rules_message_take(struct message *message);
+
+#endif
--- /dev/null
+++ b/daemon/include/daemon/settings.h
@@ -0,0 +1,27 @@
+#ifndef DAEMON_SETTINGS_H
+#define DAEMON_SETTINGS_H
+
+#include <core/endpoint.h>
+#include <glib.h>
+
+/* The settings of one shallotd, read from YAML; see docs/OPERATORS.md. */
+struct settings {
+	char *node_name;
+	char *zone;
+	char *region;
+	struct endpoint listen_packets;
+	struct endpoint listen_control;
+	struct endpoint listen_requests;
+	struct endpoint listen_admin;
+	char *rules_file;
+	uint32_t log_level;
+	uint32_t log_rate_per_s;
+	uint32_t drain_timeout_ms;
+	uint32_t flow_capacity;
+	uint64_t flow_seed;
+};
+
+struct settings *settings_read(const char *path, GError **error);
+void settings_free(struct settings *settings);
+
+#endif
--- /dev/null
+++ b/daemon/include/daemon/target_state_message.h
@@ -0,0 +1,19 @@
+#ifndef DAEMON_TARGET_STATE_MESSAGE_H
+#define DAEMON_TARGET_STATE_MESSAGE_H
+
+#include <core/target.h>
+#include <task/message.h>
+
+/* Tells a task what the VM list or a health probe says of one target. */
+struct target_state_message {
+	struct message message;
+	uint64_t target_id;
+	enum target_state state;
+};
+
+extern const struct message_type target_state_message_type;
+
+struct message *target_state_message_new(uint64_t target_id,
+					 enum target_state state);
+
+#endif
--- /dev/null
+++ b/daemon/src/daemon_error.c
@@ -0,0 +1,7 @@
+#include <daemon/daemon_error.h>
+
+/* The GError domain of package daemon. */
+GQuark daemon_error_quark(void)
+{
+	return g_quark_from_static_string("daemon-error");
+}
--- /dev/null
+++ b/daemon/src/metrics_message.c
@@ -0,0 +1,47 @@
+#include <daemon/metrics_message.h>
+
+static void request_free(struct message *message)
+{
+	g_free(message);
+}
+
+static void reply_free(struct message *message)
+{
+	struct metrics_reply *reply = (struct metrics_reply *)message;
+
+	g_string_free(reply->text, TRUE);
+	g_free(reply);
+}
+
+const struct message_type metrics_request_type = {"metrics_request",
+						  request_free};
+const struct message_type metrics_reply_type = {"metrics_reply", reply_free};
+
+/* Makes a request whose answer goes to the given task. */
+struct message *metrics_request_new(struct task *reply_to, uint64_t request_id)
+{
+	struct metrics_request *request = g_new0(struct metrics_request, 1);
+
+	request->message.type = &metrics_request_type;
+	request->reply_to = reply_to;
+	request->request_id = request_id;
+	return &request->message;
+}
+
+/*
+ * Sends the counters to the task that asked. An answer that finds the mailbox
+ * full or closed is dropped: the asker then times out and reports less.
+ */
+void metrics_request_answer(struct message *request,
+			    const struct counter_set *counters)
+{
+	const struct metrics_request *asked = (struct metrics_request *)request;
+	struct metrics_reply *reply = g_new0(struct metrics_reply, 1);
+
+	reply->message.type = &metrics_reply_type;
+	reply->request_id = asked->request_id;
+	reply->text = g_string_new(NULL);
+	counter_set_render(counters, reply->text);
+	if (task_post(asked->reply_to, &reply->message) != POST_TAKEN)
+		message_free(&reply->message);
+}
--- /dev/null
+++ b/daemon/src/ready_message.c
@@ -0,0 +1,20 @@
+#include <daemon/ready_message.h>
+
+#include <glib.h>
+
+static void ready_message_free(struct message *message)
+{
+	g_free(message);
+}
+
+const struct message_type ready_message_type = {"ready", ready_message_free};
+
+/* Makes the message; the mailbox that takes it owns it. */
+struct message *ready_message_new(bool is_ready)
+{
+	struct ready_message *ready = g_new0(struct ready_message, 1);
+
+	ready->message.type = &ready_message_type;
+	ready->is_ready = is_ready;
+	return &ready->message;
+}
--- /dev/null
+++ b/daemon/src/rules_message.c
@@ -0,0 +1,29 @@
+#include <daemon/rules_message.h>
+
+static void rules_message_free(struct message *message)
+{
+	struct rules_message *rules = (struct rules_message *)message;
+
+	rule_set_free(rules->rules);
+	g_free(rules);
+}
+
+const struct message_type rules_message_type = {"rules", rules_message_free};
+
+/* Makes a message that owns a copy of the set. */
+struct message *rules_message_new(const struct rule_set *rules)
+{
+	struct rules_message *message = g_new0(struct rules_message, 1);
+
+	message->message.type = &rules_message_type;
+	message->rules = rule_set_copy(rules);
+	return &message->message;
+}
+
+/* Takes the set out of the message, which stays to be freed. */
+struct rule_set *rules_message_take(struct message *message)
+{
+	struct rules_message *rules = (struct rules_message *)message;
+
+	return g_steal_pointer(&rules->rules);
+}
--- /dev/null
+++ b/daemon/src/settings_schema.h
@@ -0,0 +1,36 @@
+#ifndef SETTINGS_SCHEMA_H
+#define SETTINGS_SCHEMA_H
+
+#include <daemon/settings.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+enum setting_kind {
+	SETTING_TEXT,
+	SETTING_ENDPOINT,
+	SETTING_U32,
+	SETTING_U64,
+	SETTING_LEVEL,
+};
+
+/* One key: where its value goes and which values are allowed. */
+struct setting_row {
+	const char *section;
+	const char *key;
+	enum setting_kind kind;
+	size_t offset;
+	uint64_t min;
+	uint64_t max;
+	bool is_required;
+	const char *preset;
+};
+
+extern const struct setting_row settings_rows[];
+extern const size_t settings_row_count;
+
+bool settings_assign(struct settings *settings, const struct setting_row *row,
+		     const char *value);
+void settings_describe(const struct setting_row *row, char *text,
+		       size_t text_bytes);
+
+#endif
--- /dev/null
+++ b/daemon/src/shallotd.c
@@ -0,0 +1,102 @@
+#include <daemon/shallotd.h>
+
+#include <daemon/admin_task.h>
+#include <daemon/packet_task.h>
+#include <daemon/ready_message.h>
+#include <daemon/request_task.h>
+#include <daemon/rules_file.h>
+#include <daemon/rules_message.h>
+
+#define WORK_TASK_COUNT 2
+
+struct shallotd {
+	const struct settings *settings;
+	struct packet_task *packets;
+	struct request_task *requests;
+	struct admin_task *admin;
+	struct task *work_tasks[WORK_TASK_COUNT];
+};
+
+static bool make_tasks(struct shallotd *daemon, GError **error)
+{
+	struct admin_options admin_options = {
+		.settings = daemon->settings,
+		.sources = daemon->work_tasks,
+		.source_count = WORK_TASK_COUNT,
+	};
+
+	daemon->packets = packet_task_new(daemon->settings, error);
+	if (!daemon->packets)
+		return false;
+	daemon->requests = request_task_new(daemon->settings, error);
+	if (!daemon->requests)
+		return false;
+	daemon->work_tasks[0] = packet_task_task(daemon->packets);
+	daemon->work_tasks[1] = request_task_task(daemon->requests);
+	daemon->admin = admin_task_new(&admin_options, error);
+	return daemon->admin != NULL;
+}
+
+static bool start_tasks(struct shallotd *daemon, GError **error)
+{
+	for (uint32_t i = 0; i < WORK_TASK_COUNT; i++) {
+		if (!task_start(daemon->work_tasks[i], error))
+			return false;
+	}
+	return task_start(admin_task_task(daemon->admin), error);
+}
+
+static void post_or_free(struct task *task, struct message *message)
+{
+	if (task_post(task, message) != POST_TAKEN)
+		message_free(message);
+}
+
+static bool load_rules(struct shallotd *daemon, GError **error)
+{
+	struct rule_set *rules;
+
+	if (!daemon->settings->rules_file)
+		return true;
+	rules = rules_file_read(daemon->settings->rules_file, error);
+	if (!rules)
+		return false;
+	for (uint32_t i = 0; i < WORK_TASK_COUNT; i++)
+		post_or_free(daemon->work_tasks[i], rules_message_new(rules));
+	rule_set_free(rules);
+	post_or_free(admin_task_task(daemon->admin), ready_message_new(true));
+	return true;
+}
+
+/*
+ * Starts the tasks of a node. The settings must outlive it; the caller frees
+ * it with shallotd_free. Fails with DAEMON_ERROR or TASK_ERROR.
+ */
+struct shallotd *shallotd_new(const struct settings *settings, GError **error)
+{
+	struct shallotd *daemon = g_new0(struct shallotd, 1);
+
+	daemon->settings = settings;
+	if (make_tasks(daemon, error) && start_tasks(daemon, error) &&
+	    load_rules(daemon, error))
+		return daemon;
+	shallotd_free(daemon);
+	return NULL;
+}
+
+/* Stops the tasks and frees the node; NULL is allowed. */
+void shallotd_free(struct shallotd *daemon)
+{
+	if (!daemon)
+		return;
+	admin_task_free(daemon->admin);
+	request_task_free(daemon->requests);
+	packet_task_free(daemon->packets);
+	g_free(daemon);
+}
+
+/* Announces that this node takes no new work. */
+void shallotd_drain(struct shallotd *daemon)
+{
+	post_or_free(admin_task_task(daemon->admin), ready_message_new(false));
+}
--- /dev/null
+++ b/daemon/test/path_test.c
@@ -0,0 +1,243 @@
+/* One request and one packet travel from a caller through a node to a target.
+ */
+#include <daemon/settings.h>
+#include <daemon/shallotd.h>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <fakes/fake_target.h>
+#include <fakes/test_main.h>
+#include <glib/gstdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <wire/sock_addr.h>
+
+#define WAIT_STEP_US 1000
+#define WAIT_STEP_COUNT 10000
+
+/* A TCP SYN from 192.0.2.1:1000 to 10.0.0.1:80. */
+static const uint8_t syn[] = {
+	0x45, 0,    0, 40, 0, 0, 0, 0, 64, 6, 0, 0, 192,  0, 2, 1, 10, 0, 0, 1,
+	0x03, 0xe8, 0, 80, 0, 0, 0, 0, 0,  0, 0, 0, 0x50, 2, 0, 0, 0,  0, 0, 0,
+};
+
+struct fixture {
+	char *directory;
+	struct fake_target *target;
+	struct settings *settings;
+	struct shallotd *daemon;
+};
+
+static uint16_t free_port(int type)
+{
+	struct endpoint endpoint;
+	struct sockaddr_storage storage;
+	socklen_t length;
+	int fd = socket(AF_INET, type, 0);
+
+	endpoint_parse(&endpoint, "127.0.0.1:1");
+	endpoint.port = 0;
+	length = sock_addr_from_endpoint(&storage, &endpoint);
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&storage, length), 0);
+	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&storage, &length),
+			 0);
+	sock_addr_to_endpoint(&endpoint, &storage);
+	close(fd);
+	return endpoint.port;
+}
+
+static char *write_file(const char *directory, const char *name,
+			const char *text)
+{
+	char *path = g_build_filename(directory, name, NULL);
+
+	ck_assert(g_file_set_contents(path, text, -1, NULL));
+	return path;
+}
+
+static void write_settings(struct fixture *fixture)
+{
+	char endpoint[ENDPOINT_TEXT_BYTES];
+	struct endpoint target = fake_target_endpoint(fixture->target);
+	char *rules = g_strdup_printf(
+		"order-desk address=10.0.0.1:80 pool=%s protocol=http "
+		"# asked by Lin Yu-ting\n",
+		endpoint_format(&target, endpoint));
+	char *rules_path = write_file(fixture->directory, "rules", rules);
+	char *text = g_strdup_printf(
+		"node: {name: entry-1, zone: north-a, region: north}\n"
+		"listen:\n"
+		"  packets: 127.0.0.1:%u\n"
+		"  control: 127.0.0.1:%u\n"
+		"  requests: 127.0.0.1:%u\n"
+		"  admin: 127.0.0.1:%u\n"
+		"rules: {file: %s}\n",
+		free_port(SOCK_DGRAM), free_port(SOCK_DGRAM),
+		free_port(SOCK_STREAM), free_port(SOCK_STREAM), rules_path);
+	char *path = write_file(fixture->directory, "settings", text);
+	GError *error = NULL;
+
+	fixture->settings = settings_read(path, &error);
+	ck_assert_msg(!error, "%s", error ? error->message : "");
+	g_unlink(path);
+	g_free(path);
+	g_free(text);
+	g_free(rules_path);
+	g_free(rules);
+}
+
+static void setup(struct fixture *fixture)
+{
+	struct fake_target_options options = {.name = "target-1"};
+	GError *error = NULL;
+
+	endpoint_parse(&options.listen, "127.0.0.1:1");
+	options.listen.port = 0;
+	fixture->directory = g_dir_make_tmp("path_test_XXXXXX", NULL);
+	fixture->target = fake_target_new(&options, &error);
+	ck_assert_msg(!error, "%s", error ? error->message : "");
+	write_settings(fixture);
+	fixture->daemon = shallotd_new(fixture->settings, &error);
+	ck_assert_msg(!error, "%s", error ? error->message : "");
+}
+
+static void teardown(struct fixture *fixture)
+{
+	char *rules = g_build_filename(fixture->directory, "rules", NULL);
+
+	shallotd_free(fixture->daemon);
+	settings_free(fixture->settings);
+	fake_target_free(fixture->target);
+	g_unlink(rules);
+	g_rmdir(fixture->directory);
+	g_free(rules);
+	g_free(fixture->directory);
+}
+
+struct answer {
+	struct event_base *base;
+	int status;
+	char *body;
+};
+
+static void on_answer(struct evhttp_request *request, void *context)
+{
+	struct answer *answer = context;
+	struct evbuffer *body;
+
+	if (request) {
+		body = evhttp_request_get_input_buffer(request);
+		answer->status = evhttp_request_get_response_code(request);
+		answer->body =
+			g_strndup((const char *)evbuffer_pullup(body, -1),
+				  evbuffer_get_length(body));
+	}
+	event_base_loopbreak(answer->base);
+}
+
+static void get(struct fixture *fixture, const char *host, const char *uri,
+		struct answer *answer)
+{
+	struct evhttp_connection *connection;
+	struct evhttp_request *request;
+
+	answer->base = event_base_new();
+	connection = evhttp_connection_base_new(
+		answer->base, NULL, "127.0.0.1",
+		fixture->settings->listen_requests.port);
+	request = evhttp_request_new(on_answer, answer);
+	evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
+			  host);
+	evhttp_make_request(connection, request, EVHTTP_REQ_GET, uri);
+	event_base_dispatch(answer->base);
+	evhttp_connection_free(connection);
+	event_base_free(answer->base);
+}
+
+/* What a caller asks for, and what it gets. */
+static const struct {
+	const char *host;
+	const char *uri;
+	int status;
+	const char *body;
+} request_rows[] = {
+	{"order-desk", "/blocks/7", 200, "target-1 /blocks/7\n"},
+	{"no-such-service", "/blocks/7", 421, NULL},
+};
+
+START_TEST(test_request)
+{
+	struct fixture fixture;
+	struct answer answer = {.status = 0};
+
+	setup(&fixture);
+	get(&fixture, request_rows[_i].host, request_rows[_i].uri, &answer);
+	ck_assert_int_eq(answer.status, request_rows[_i].status);
+	if (request_rows[_i].body)
+		ck_assert_str_eq(answer.body, request_rows[_i].body);
+	g_free(answer.body);
+	teardown(&fixture);
+}
+END_TEST
+
+/* Datagrams from the fabric, and how many packets reach the target. */
+static const struct {
+	const char *name;
+	uint32_t length_bytes;
+	uint64_t arrived;
+} packet_rows[] = {
+	{"whole", sizeof(syn), 1},
+	{"truncated", sizeof(syn) - 1, 0},
+	{"empty", 0, 0},
+};
+
+static void send_packet(const struct fixture *fixture, uint32_t length_bytes)
+{
+	struct sockaddr_storage storage;
+	socklen_t length = sock_addr_from_endpoint(
+		&storage, &fixture->settings->listen_packets);
+	int fd = socket(AF_INET, SOCK_DGRAM, 0);
+
+	ck_assert_int_eq(sendto(fd, syn, length_bytes, 0,
+				(struct sockaddr *)&storage, length),
+			 length_bytes);
+	close(fd);
+}
+
+static void wait_for_packets(const struct fixture *fixture, uint64_t count)
+{
+	for (int i = 0; i < WAIT_STEP_COUNT; i++) {
+		if (fake_target_packet_count(fixture->target) >= count)
+			return;
+		g_usleep(WAIT_STEP_US);
+	}
+}
+
+/* A whole packet follows the row's one: when it is there, so is the first. */
+START_TEST(test_packet)
+{
+	struct fixture fixture;
+
+	setup(&fixture);
+	send_packet(&fixture, packet_rows[_i].length_bytes);
+	send_packet(&fixture, sizeof(syn));
+	wait_for_packets(&fixture, packet_rows[_i].arrived + 1);
+	ck_assert_uint_eq(fake_target_packet_count(fixture.target),
+			  packet_rows[_i].arrived + 1);
+	teardown(&fixture);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("path");
+	TCase *tcase = tcase_create("path");
+
+	tcase_set_timeout(tcase, 60);
+	tcase_add_loop_test(tcase, test_request, 0,
+			    sizeof(request_rows) / sizeof(request_rows[0]));
+	tcase_add_loop_test(tcase, test_packet, 0,
+			    sizeof(packet_rows) / sizeof(packet_rows[0]));
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
--- /dev/null
+++ b/fakes/include/fakes/fake_target.h
@@ -0,0 +1,27 @@
+#ifndef FAKES_FAKE_TARGET_H
+#define FAKES_FAKE_TARGET_H
+
+#include <core/endpoint.h>
+#include <glib.h>
+#include <stdint.h>
+#include <task/task.h>
+
+/*
+ * A stand-in back end: a task that answers HTTP requests with its name and
+ * the request's URI, and counts the packets that reach its packet port.
+ */
+struct fake_target;
+
+struct fake_target_options {
+	const char *name;
+	struct endpoint listen;
+};
+
+struct fake_target *fake_target_new(const struct fake_target_options *options,
+				    GError **error);
+void fake_target_free(struct fake_target *target);
+struct endpoint fake_target_endpoint(const struct fake_target *target);
+uint64_t fake_target_request_count(const struct fake_target *target);
+uint64_t fake_target_packet_count(const struct fake_target *target);
+
+#endif
--- /dev/null
+++ b/fakes/include/fakes/test_main.h
@@ -0,0 +1,30 @@
+#ifndef FAKES_TEST_MAIN_H
+#define FAKES_TEST_MAIN_H
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+/*
+ * Prints that a row of a fault table ran. docs/FAULTS.md names rows as
+ * suite/name, and scripts/check-faults looks for these lines.
+ */
+static inline void test_row(const char *suite, const char *name)
+{
+	printf("row: %s/%s\n", suite, name);
+	fflush(stdout);
+}
+
+/* Runs a suite and returns the exit code of its program. */
+static inline int test_main(Suite *suite)
+{
+	SRunner *runner = srunner_create(suite);
+	int failed_count;
+
+	srunner_run_all(runner, CK_VERBOSE);
+	failed_count = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed_count == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+#endif
--- /dev/null
+++ b/task/include/task/mailbox.h
@@ -0,0 +1,24 @@
+#ifndef TASK_MAILBOX_H
+#define TASK_MAILBOX_H
+
+#include <stdbool.h>
+#include <task/message.h>
+
+/* What became of a message that was posted. */
+enum post_result {
+	POST_TAKEN,
+	POST_FULL,
+	POST_CLOSED,
+};
+
+/* A bounded queue with many writers and one reader. */
+struct mailbox;
+
+struct mailbox *mailbox_new(uint32_t capacity);
+void mailbox_free(struct mailbox *mailbox);
+enum post_result mailbox_post(struct mailbox *mailbox, struct message *message,
+			      bool *was_empty);
+struct message *mailbox_take_all(struct mailbox *mailbox);
+bool mailbox_close(struct mailbox *mailbox, struct message *last);
+
+#endif
--- /dev/null
+++ b/task/include/task/task.h
@@ -0,0 +1,38 @@
+#ifndef TASK_TASK_H
+#define TASK_TASK_H
+
+#include <event2/event.h>
+#include <glib.h>
+#include <task/mailbox.h>
+
+/*
+ * A task is a thread with an event loop and a bounded mailbox. It alone
+ * touches the sockets and the state that its context holds; others reach it
+ * by messages only.
+ */
+struct task;
+
+/*
+ * start runs first in the task's own thread and opens its sockets; when it
+ * fails, task_start fails. handle gets each message and owns it. stop runs
+ * last, in the task's own thread.
+ */
+struct task_options {
+	const char *name;
+	uint32_t mailbox_capacity;
+	void *context;
+	bool (*start)(void *context, struct task *task, GError **error);
+	void (*handle)(void *context, struct message *message);
+	void (*stop)(void *context);
+};
+
+struct task *task_new(const struct task_options *options, GError **error);
+bool task_start(struct task *task, GError **error);
+void task_stop(struct task *task);
+void task_free(struct task *task);
+enum post_result task_post(struct task *task, struct message *message);
+struct event_base *task_base(struct task *task);
+const char *task_name(const struct task *task);
+int64_t task_now_ms(void);
+
+#endif
--- /dev/null
+++ b/task/include/task/task_error.h
@@ -0,0 +1,17 @@
+#ifndef TASK_TASK_ERROR_H
+#define TASK_TASK_ERROR_H
+
+#include <glib.h>
+
+#define TASK_ERROR (task_error_quark())
+
+/* What the task runtime can report. */
+enum task_error {
+	TASK_ERROR_RESOURCE,
+	TASK_ERROR_ADDRESS,
+	TASK_ERROR_SOCKET,
+};
+
+GQuark task_error_quark(void);
+
+#endif
--- /dev/null
+++ b/task/include/task/udp_socket.h
@@ -0,0 +1,31 @@
+#ifndef TASK_UDP_SOCKET_H
+#define TASK_UDP_SOCKET_H
+
+#include <core/endpoint.h>
+#include <task/task.h>
+
+#define UDP_BATCH_COUNT 32
+
+/*
+ * A UDP socket owned by one task. receive runs in that task's thread, once a
+ * datagram; the bytes are valid during the call only.
+ */
+struct udp_socket;
+
+struct udp_socket_options {
+	struct endpoint listen;
+	uint32_t buffer_bytes;
+	void *context;
+	void (*receive)(void *context, const struct endpoint *from,
+			const uint8_t *bytes, uint32_t length_bytes);
+};
+
+struct udp_socket *udp_socket_new(struct task *task,
+				  const struct udp_socket_options *options,
+				  GError **error);
+void udp_socket_free(struct udp_socket *udp);
+bool udp_socket_send(struct udp_socket *udp, const struct endpoint *to,
+		     const uint8_t *bytes, uint32_t length_bytes);
+struct endpoint udp_socket_local(const struct udp_socket *udp);
+
+#endif
--- /dev/null
+++ b/task/test/mailbox_test.c
@@ -0,0 +1,73 @@
+#include <fakes/test_main.h>
+#include <glib.h>
+#include <task/mailbox.h>
+
+static uint32_t freed_count;
+
+static void count_free(struct message *message)
+{
+	freed_count++;
+	g_free(message);
+}
+
+static const struct message_type type = {"test", count_free};
+
+static struct message *new_message(void)
+{
+	struct message *message = g_new0(struct message, 1);
+
+	message->type = &type;
+	return message;
+}
+
+/* How many messages are posted to which capacity, and what becomes of them. */
+static const struct {
+	uint32_t capacity;
+	uint32_t posted;
+	bool is_closed;
+	uint32_t taken;
+	uint32_t freed;
+	enum post_result last;
+} rows[] = {
+	{4, 0, false, 0, 0, POST_TAKEN}, {4, 3, false, 3, 3, POST_TAKEN},
+	{4, 4, false, 4, 4, POST_TAKEN}, {4, 5, false, 4, 4, POST_FULL},
+	{1, 2, false, 1, 1, POST_FULL},	 {0, 1, false, 0, 0, POST_FULL},
+	{4, 1, true, 0, 1, POST_CLOSED}, {0, 1, true, 0, 1, POST_CLOSED},
+};
+
+START_TEST(test_bound)
+{
+	struct mailbox *mailbox = mailbox_new(rows[_i].capacity);
+	enum post_result result = POST_TAKEN;
+	uint32_t taken = 0;
+	bool was_empty;
+
+	freed_count = 0;
+	if (rows[_i].is_closed)
+		mailbox_close(mailbox, new_message());
+	for (uint32_t i = 0; i < rows[_i].posted; i++) {
+		struct message *message = new_message();
+
+		result = mailbox_post(mailbox, message, &was_empty);
+		if (result == POST_TAKEN)
+			taken++;
+		else
+			g_free(message);
+	}
+	ck_assert_int_eq(result, rows[_i].last);
+	ck_assert_uint_eq(taken, rows[_i].taken);
+	mailbox_free(mailbox);
+	ck_assert_uint_eq(freed_count, rows[_i].freed);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("mailbox");
+	TCase *tcase = tcase_create("bound");
+
+	tcase_add_loop_test(tcase, test_bound, 0,
+			    sizeof(rows) / sizeof(rows[0]));
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
--- /dev/null
+++ b/wire/include/wire/wire_error.h
@@ -0,0 +1,19 @@
+#ifndef WIRE_WIRE_ERROR_H
+#define WIRE_WIRE_ERROR_H
+
+#include <glib.h>
+
+#define WIRE_ERROR (wire_error_quark())
+
+/* Why bytes could not be turned into a message, or a message into bytes. */
+enum wire_error {
+	WIRE_ERROR_TRUNCATED,
+	WIRE_ERROR_MALFORMED,
+	WIRE_ERROR_VERSION,
+	WIRE_ERROR_TOO_LARGE,
+	WIRE_ERROR_AUTHENTICATION,
+};
+
+GQuark wire_error_quark(void);
+
+#endif
