Add a line fit and a bench clock for the capacity slopes

Change: ctl/line_fit.h (least squares with the residual) and ctl/bench_clock.h; bench decide uses the clock.

Conclusion: no change to what is measured.

--- /dev/null
+++ b/ctl/include/ctl/line_fit.h
@@ -0,0 +1,19 @@
+#ifndef CTL_LINE_FIT_H
+#define CTL_LINE_FIT_H
+
+#include <stdint.h>
+
+/* A straight line through measured points. */
+struct line_fit {
+	double base;
+	double slope;
+	/* Root mean square of the residuals, in the unit of y. */
+	double residual;
+	uint32_t point_count;
+};
+
+struct line_fit line_fit_of(const double *x, const double *y,
+			    uint32_t point_count);
+double line_fit_at(const struct line_fit *fit, double x);
+
+#endif
--- a/ctl/src/bench_decide.c
+++ b/ctl/src/bench_decide.c
@@ -1,21 +1,12 @@
 #include <ctl/bench.h>
 
 #include <core/target_rank.h>
-#include <time.h>
+#include <ctl/bench_clock.h>
 
 #define ROUND_COUNT 1000000
 #define TARGET_COUNT 15
-#define NS_PER_S 1000000000.0
 #define NEW_FLOW_BOUND_NS 2000
 
-static double now_ns(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_MONOTONIC, &now);
-	return (double)now.tv_sec * NS_PER_S + (double)now.tv_nsec;
-}
-
 static double measure_rank_ns(void)
 {
 	struct target targets[TARGET_COUNT] = {{.target_id = 0}};
@@ -27,14 +18,14 @@
 		targets[i].target_id = i + 1;
 		targets[i].weight = 1;
 	}
-	start_ns = now_ns();
+	start_ns = bench_clock_now_ns();
 	for (uint32_t i = 0; i < ROUND_COUNT; i++) {
 		key.caller.addr = ip_addr_from_v4(i);
 		sink += target_rank_first(targets, TARGET_COUNT,
 					  flow_key_print(&key, 0))
 				->target_id;
 	}
-	return (now_ns() - start_ns) / ROUND_COUNT;
+	return (bench_clock_now_ns() - start_ns) / ROUND_COUNT;
 }
 
 static void run(struct bench_report *report)
