--- /dev/null
+++ b/core/include/core/admission.h
@@ -0,0 +1,37 @@
+#ifndef CORE_ADMISSION_H
+#define CORE_ADMISSION_H
+
+#include <core/usage_average.h>
+#include <core/work_class.h>
+
+/*
+ * Decides which class may start the next request at a pool. Each class is
+ * sure of a share; what is left goes to the most urgent first.
+ */
+struct admission {
+	struct usage_average total;
+	struct usage_average by_class[CLASS_COUNT];
+};
+
+/* What the targets of a pool leave this node, in thousandths of a request. */
+struct admission_limits {
+	uint32_t share_milli;
+	uint32_t limit_milli;
+};
+
+void admission_init(struct admission *admission);
+void admission_changed(struct admission *admission, enum work_class work_class,
+		       int32_t difference, int64_t now_ms);
+bool admission_next(struct admission *admission,
+		    const struct admission_limits *limits,
+		    const bool has_waiting[CLASS_COUNT],
+		    enum work_class *work_class, int64_t now_ms);
+uint32_t admission_part_milli(struct admission *admission,
+			      enum work_class work_class,
+			      const struct admission_limits *limits,
+			      int64_t now_ms);
+int64_t admission_retry_ms(struct admission *admission,
+			   const struct admission_limits *limits,
+			   int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/core/include/core/class_queue.h
@@ -0,0 +1,27 @@
+#ifndef CORE_CLASS_QUEUE_H
+#define CORE_CLASS_QUEUE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * The requests of one class that wait for a target. Callers take turns, and
+ * none may hold more than its part of the places.
+ */
+struct class_queue;
+
+struct class_queue *class_queue_new(uint32_t limit);
+void class_queue_free(struct class_queue *queue);
+bool class_queue_has_room(struct class_queue *queue, uint64_t caller_hash,
+			  uint32_t limit, int64_t now_ms);
+void class_queue_push(struct class_queue *queue, uint64_t caller_hash,
+		      uint64_t request_id);
+void class_queue_push_first(struct class_queue *queue, uint64_t caller_hash,
+			    uint64_t request_id);
+bool class_queue_peek(const struct class_queue *queue, uint64_t *request_id);
+bool class_queue_pop(struct class_queue *queue, uint64_t *request_id);
+bool class_queue_remove(struct class_queue *queue, uint64_t caller_hash,
+			uint64_t request_id);
+uint32_t class_queue_length(const struct class_queue *queue);
+
+#endif
--- /dev/null
+++ b/core/include/core/outlier.h
@@ -0,0 +1,21 @@
+#ifndef CORE_OUTLIER_H
+#define CORE_OUTLIER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Ejects a target that fails again and again, for a time that doubles. */
+struct outlier {
+	uint32_t failure_count;
+	uint32_t ejection_count;
+	int64_t ejected_until_ms;
+	int64_t answered_ms;
+};
+
+void outlier_succeeded(struct outlier *outlier, int64_t now_ms);
+bool outlier_failed(struct outlier *outlier);
+void outlier_eject(struct outlier *outlier, int64_t now_ms);
+bool outlier_is_ejected(const struct outlier *outlier, int64_t now_ms);
+uint32_t outlier_ejection_limit(uint32_t target_count);
+
+#endif
--- a/core/include/core/request_director.h
+++ b/core/include/core/request_director.h
@@ -23,7 +23,7 @@
  * the caller's connection. claim: ask the key's holders whether this request
  * may run, then call request_director_claimed; release: tell the holders that
  * the key's request did not run; settle: tell them that it ran. log: one line
- * for each decision.
+ * for each decision. Effects must not call back into the director.
  */
 struct request_effects {
 	void *context;
--- /dev/null
+++ b/core/include/core/retry_budget.h
@@ -0,0 +1,19 @@
+#ifndef CORE_RETRY_BUDGET_H
+#define CORE_RETRY_BUDGET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Keeps retries to a share of first attempts, so that they cannot multiply. */
+struct retry_budget {
+	uint32_t earned_milli;
+	uint32_t gain_milli;
+	uint32_t limit_milli;
+};
+
+void retry_budget_init(struct retry_budget *budget, uint32_t gain_milli,
+		       uint32_t limit_milli);
+void retry_budget_earn(struct retry_budget *budget);
+bool retry_budget_spend(struct retry_budget *budget);
+
+#endif
--- /dev/null
+++ b/core/include/core/target_choice.h
@@ -0,0 +1,21 @@
+#ifndef CORE_TARGET_CHOICE_H
+#define CORE_TARGET_CHOICE_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/* A target that may take a request, and its load by this node's evidence. */
+struct target_candidate {
+	uint32_t index;
+	uint32_t in_flight;
+	uint32_t limit_milli;
+	uint32_t slowness_milli;
+};
+
+#define CANDIDATE_NONE UINT32_MAX
+
+uint32_t target_choice(const struct target_candidate *candidates,
+		       uint32_t candidate_count, uint32_t first_index,
+		       GRand *rand);
+
+#endif
--- /dev/null
+++ b/core/include/core/target_limit.h
@@ -0,0 +1,34 @@
+#ifndef CORE_TARGET_LIMIT_H
+#define CORE_TARGET_LIMIT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * How many requests this node may have at one target. All nodes share the
+ * target's slots without talk, so the limit is the even share, which may be
+ * below one, times a factor learned from the target's answers.
+ */
+struct target_limit {
+	uint32_t slot_count;
+	uint32_t node_count;
+	uint32_t factor_milli;
+	uint32_t slowness_milli;
+	uint32_t in_flight;
+	int64_t busy_until_ms;
+	int64_t lowered_ms;
+	int64_t answered_ms;
+};
+
+void target_limit_init(struct target_limit *limit, uint32_t slot_count,
+		       uint32_t node_count);
+uint32_t target_limit_share_milli(const struct target_limit *limit);
+uint32_t target_limit_milli(const struct target_limit *limit);
+uint32_t target_limit_in_flight_max(const struct target_limit *limit);
+void target_limit_answered(struct target_limit *limit, uint32_t latency_ms,
+			   uint32_t usual_ms, int64_t now_ms);
+void target_limit_shed(struct target_limit *limit, uint32_t usual_ms,
+		       int64_t now_ms);
+bool target_limit_is_busy(const struct target_limit *limit, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/core/include/core/usage_average.h
@@ -0,0 +1,24 @@
+#ifndef CORE_USAGE_AVERAGE_H
+#define CORE_USAGE_AVERAGE_H
+
+#include <stdint.h>
+
+/*
+ * The exponentially weighted average of a number in flight, in thousandths.
+ * It lets a share below one be kept: one request, then a pause.
+ */
+struct usage_average {
+	int64_t average_micro;
+	int64_t updated_ms;
+	uint32_t window_ms;
+	uint32_t in_flight;
+};
+
+void usage_average_init(struct usage_average *usage, uint32_t window_ms);
+void usage_average_change(struct usage_average *usage, int32_t difference,
+			  int64_t now_ms);
+uint32_t usage_average_milli(struct usage_average *usage, int64_t now_ms);
+int64_t usage_average_below_ms(struct usage_average *usage,
+			       uint32_t level_milli, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/core/src/admission.c
@@ -0,0 +1,135 @@
+#include <core/admission.h>
+
+#define UNIT_MILLI 1000
+#define CLASS_WINDOW_MS 1000
+#define TOTAL_WINDOW_MS 100
+
+/*
+ * sure_percent of the node's share of the pool belongs to the class whatever
+ * floods in. Beyond it a class may start while less than open_percent of the
+ * limit (of the share, for bulk) is in flight.
+ */
+struct class_policy {
+	uint32_t sure_percent;
+	uint32_t open_percent;
+};
+
+static const struct class_policy policies[CLASS_COUNT] = {
+	[CLASS_URGENT] = {50, 100},
+	[CLASS_NORMAL] = {20, 90},
+	[CLASS_BULK] = {8, 40},
+};
+
+/* Starts with nothing in flight. */
+void admission_init(struct admission *admission)
+{
+	usage_average_init(&admission->total, TOTAL_WINDOW_MS);
+	for (int i = 0; i < CLASS_COUNT; i++)
+		usage_average_init(&admission->by_class[i], CLASS_WINDOW_MS);
+}
+
+/* Notes that an attempt of a class began (1) or ended (-1). */
+void admission_changed(struct admission *admission, enum work_class work_class,
+		       int32_t difference, int64_t now_ms)
+{
+	if (work_class != CLASS_BULK)
+		usage_average_change(&admission->total, difference, now_ms);
+	usage_average_change(&admission->by_class[work_class], difference,
+			     now_ms);
+}
+
+static uint32_t sure_milli(enum work_class work_class,
+			   const struct admission_limits *limits)
+{
+	return limits->share_milli * policies[work_class].sure_percent / 100;
+}
+
+/* Whether less than a limit below or above one is in flight, on average too. */
+static bool is_below(struct usage_average *usage, uint32_t limit_milli,
+		     int64_t now_ms)
+{
+	if (usage->in_flight * UNIT_MILLI >= limit_milli)
+		return false;
+	return usage_average_milli(usage, now_ms) < limit_milli;
+}
+
+static bool is_sure(struct admission *admission, enum work_class work_class,
+		    const struct admission_limits *limits, int64_t now_ms)
+{
+	return is_below(&admission->by_class[work_class],
+			sure_milli(work_class, limits), now_ms);
+}
+
+static bool is_open(struct admission *admission, enum work_class work_class,
+		    const struct admission_limits *limits, int64_t now_ms)
+{
+	uint32_t percent = policies[work_class].open_percent;
+	uint32_t all = admission->total.in_flight +
+		       admission->by_class[CLASS_BULK].in_flight;
+
+	if (work_class == CLASS_BULK)
+		return (all + 1) * UNIT_MILLI <=
+		       limits->share_milli * percent / 100;
+	return is_below(&admission->total, limits->limit_milli * percent / 100,
+			now_ms);
+}
+
+/*
+ * Picks the class that may start next among those that wait; returns false
+ * when none may. Bulk in flight is not counted against the others: its own
+ * bounds keep it small, and they must not wait for it.
+ */
+bool admission_next(struct admission *admission,
+		    const struct admission_limits *limits,
+		    const bool has_waiting[CLASS_COUNT],
+		    enum work_class *work_class, int64_t now_ms)
+{
+	for (int i = 0; i < CLASS_COUNT; i++) {
+		*work_class = (enum work_class)i;
+		if (has_waiting[i] &&
+		    is_sure(admission, *work_class, limits, now_ms))
+			return true;
+	}
+	for (int i = 0; i < CLASS_COUNT; i++) {
+		*work_class = (enum work_class)i;
+		if (has_waiting[i] &&
+		    is_open(admission, *work_class, limits, now_ms))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Returns the part of the pool that a class can count on, in thousandths of a
+ * request: its sure share, or what it had of late when that is more.
+ */
+uint32_t admission_part_milli(struct admission *admission,
+			      enum work_class work_class,
+			      const struct admission_limits *limits,
+			      int64_t now_ms)
+{
+	uint32_t sure = sure_milli(work_class, limits);
+	uint32_t average =
+		usage_average_milli(&admission->by_class[work_class], now_ms);
+
+	return sure > average ? sure : average;
+}
+
+/* Returns when a class may start although nothing ends before. */
+int64_t admission_retry_ms(struct admission *admission,
+			   const struct admission_limits *limits,
+			   int64_t now_ms)
+{
+	int64_t retry_ms = usage_average_below_ms(&admission->total,
+						  limits->limit_milli, now_ms);
+
+	for (int i = 0; i < CLASS_COUNT; i++) {
+		int64_t class_ms = usage_average_below_ms(
+			&admission->by_class[i],
+			sure_milli((enum work_class)i, limits), now_ms);
+
+		if (class_ms > now_ms && class_ms < retry_ms)
+			retry_ms = class_ms;
+	}
+	return retry_ms > now_ms ? retry_ms : now_ms + 1;
+}
--- /dev/null
+++ b/core/src/class_queue.c
@@ -0,0 +1,198 @@
+#include <core/class_queue.h>
+
+#include <glib.h>
+
+#define CALLER_MEMORY_MS 1000
+
+/* What one caller has waiting; it has a link in turns while that is any. */
+struct caller {
+	uint64_t caller_hash;
+	int64_t seen_ms;
+	GQueue waiting;
+};
+
+struct class_queue {
+	uint32_t limit;
+	uint32_t length;
+	GHashTable *callers;
+	GQueue turns;
+	int64_t forgot_ms;
+};
+
+static void caller_free(gpointer data)
+{
+	struct caller *caller = data;
+
+	g_queue_clear_full(&caller->waiting, g_free);
+	g_free(caller);
+}
+
+/* Makes a queue of at most limit requests; freed with class_queue_free. */
+struct class_queue *class_queue_new(uint32_t limit)
+{
+	struct class_queue *queue = g_new0(struct class_queue, 1);
+
+	queue->limit = limit;
+	queue->callers = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       NULL, caller_free);
+	g_queue_init(&queue->turns);
+	return queue;
+}
+
+/* Frees the queue; NULL is allowed. */
+void class_queue_free(struct class_queue *queue)
+{
+	if (!queue)
+		return;
+	g_queue_clear(&queue->turns);
+	g_hash_table_destroy(queue->callers);
+	g_free(queue);
+}
+
+static gboolean is_forgotten(gpointer key, gpointer value, gpointer context)
+{
+	const struct caller *caller = value;
+	const int64_t *now_ms = context;
+
+	return caller->waiting.length == 0 &&
+	       *now_ms - caller->seen_ms > CALLER_MEMORY_MS;
+}
+
+static void forget_callers(struct class_queue *queue, int64_t now_ms)
+{
+	if (now_ms - queue->forgot_ms < CALLER_MEMORY_MS)
+		return;
+	queue->forgot_ms = now_ms;
+	g_hash_table_foreach_remove(queue->callers, is_forgotten, &now_ms);
+}
+
+static struct caller *caller_of(struct class_queue *queue, uint64_t caller_hash)
+{
+	struct caller *caller =
+		g_hash_table_lookup(queue->callers, &caller_hash);
+
+	if (caller)
+		return caller;
+	caller = g_new0(struct caller, 1);
+	caller->caller_hash = caller_hash;
+	g_queue_init(&caller->waiting);
+	g_hash_table_insert(queue->callers, &caller->caller_hash, caller);
+	return caller;
+}
+
+/*
+ * Tells whether one more request of the caller may wait when at most limit
+ * may in all. Each caller seen in the last second has an equal part of the
+ * places, at least one, so a caller that floods finds its own part full and
+ * leaves the others theirs.
+ */
+bool class_queue_has_room(struct class_queue *queue, uint64_t caller_hash,
+			  uint32_t limit, int64_t now_ms)
+{
+	struct caller *caller;
+	uint32_t part;
+
+	forget_callers(queue, now_ms);
+	if (limit > queue->limit)
+		limit = queue->limit;
+	caller = caller_of(queue, caller_hash);
+	caller->seen_ms = now_ms;
+	part = limit / g_hash_table_size(queue->callers);
+	if (caller->waiting.length >= MAX(part, 1))
+		return false;
+	return queue->length < limit;
+}
+
+static uint64_t *new_id(uint64_t request_id)
+{
+	uint64_t *id = g_new(uint64_t, 1);
+
+	*id = request_id;
+	return id;
+}
+
+/* Adds a request behind the caller's others. */
+void class_queue_push(struct class_queue *queue, uint64_t caller_hash,
+		      uint64_t request_id)
+{
+	struct caller *caller = caller_of(queue, caller_hash);
+
+	if (caller->waiting.length == 0)
+		g_queue_push_tail(&queue->turns, caller);
+	g_queue_push_tail(&caller->waiting, new_id(request_id));
+	queue->length++;
+}
+
+/* Puts a request back in front of all others; it had its turn before. */
+void class_queue_push_first(struct class_queue *queue, uint64_t caller_hash,
+			    uint64_t request_id)
+{
+	struct caller *caller = caller_of(queue, caller_hash);
+
+	if (caller->waiting.length > 0)
+		g_queue_remove(&queue->turns, caller);
+	g_queue_push_head(&queue->turns, caller);
+	g_queue_push_head(&caller->waiting, new_id(request_id));
+	queue->length++;
+}
+
+/* Returns the request whose turn it is and leaves it; false when empty. */
+bool class_queue_peek(const struct class_queue *queue, uint64_t *request_id)
+{
+	const struct caller *caller =
+		g_queue_peek_head((GQueue *)&queue->turns);
+
+	if (!caller)
+		return false;
+	*request_id = *(uint64_t *)caller->waiting.head->data;
+	return true;
+}
+
+/* Takes out the request whose turn it is; returns false when empty. */
+bool class_queue_pop(struct class_queue *queue, uint64_t *request_id)
+{
+	struct caller *caller = g_queue_pop_head(&queue->turns);
+	uint64_t *id;
+
+	if (!caller)
+		return false;
+	id = g_queue_pop_head(&caller->waiting);
+	*request_id = *id;
+	g_free(id);
+	if (caller->waiting.length > 0)
+		g_queue_push_tail(&queue->turns, caller);
+	queue->length--;
+	return true;
+}
+
+static gint compare_ids(gconstpointer a, gconstpointer b)
+{
+	return *(const uint64_t *)a != *(const uint64_t *)b;
+}
+
+/* Takes out one request; returns false when it does not wait here. */
+bool class_queue_remove(struct class_queue *queue, uint64_t caller_hash,
+			uint64_t request_id)
+{
+	struct caller *caller =
+		g_hash_table_lookup(queue->callers, &caller_hash);
+	GList *link;
+
+	if (!caller)
+		return false;
+	link = g_queue_find_custom(&caller->waiting, &request_id, compare_ids);
+	if (!link)
+		return false;
+	g_free(link->data);
+	g_queue_delete_link(&caller->waiting, link);
+	if (caller->waiting.length == 0)
+		g_queue_remove(&queue->turns, caller);
+	queue->length--;
+	return true;
+}
+
+/* Returns how many requests wait. */
+uint32_t class_queue_length(const struct class_queue *queue)
+{
+	return queue->length;
+}
--- /dev/null
+++ b/core/src/open_request.h
@@ -0,0 +1,27 @@
+#ifndef CORE_OPEN_REQUEST_H
+#define CORE_OPEN_REQUEST_H
+
+#include <core/reason.h>
+#include <core/request_event.h>
+
+enum open_request_state {
+	REQUEST_CLAIMING,
+	REQUEST_WAITING,
+	REQUEST_RUNNING,
+	REQUEST_ANSWERING,
+};
+
+/* A request that its caller still waits for. */
+struct open_request {
+	struct request_event event;
+	uint64_t sequence;
+	enum open_request_state state;
+	enum work_class work_class;
+	uint64_t attempt_id;
+	uint32_t attempt_count;
+	bool may_have_run;
+	bool has_claim;
+	struct endpoint tried;
+};
+
+#endif
--- /dev/null
+++ b/core/src/request_attempt.h
@@ -0,0 +1,27 @@
+#ifndef CORE_REQUEST_ATTEMPT_H
+#define CORE_REQUEST_ATTEMPT_H
+
+#include "request_pool.h"
+#include "target_track.h"
+#include <core/placement.h>
+
+/*
+ * One try of a request at a target. An abandoned one no longer speaks for its
+ * request and holds its place at the target until it ends or due_ms comes, for
+ * the target may go on working.
+ */
+struct request_attempt {
+	uint64_t attempt_id;
+	uint64_t request_id;
+	uint32_t service_id;
+	enum work_class work_class;
+	struct target_track *track;
+	struct request_pool *pool;
+	struct placement placement;
+	int64_t started_ms;
+	int64_t due_ms;
+	bool has_headers;
+	bool is_abandoned;
+};
+
+#endif
--- /dev/null
+++ b/core/src/request_attempts.c
@@ -0,0 +1,213 @@
+/* What the end of an attempt teaches, and what it means for its request. */
+#include "request_state.h"
+
+#define ATTEMPTS_MAX 8
+#define ABANDONED_MOST_MS 5000
+#define RETRY_ROOM_MS 2
+
+/*
+ * What each way to end an attempt means: whether the request may have run,
+ * whether the target counts as failing, and the reason that is logged.
+ */
+struct outcome_rule {
+	bool may_have_run;
+	bool is_failure;
+	enum reason reason;
+};
+
+static const struct outcome_rule outcome_rules[ATTEMPT_OUTCOME_COUNT] = {
+	[ATTEMPT_WHOLE] = {true, false, REASON_ADMITTED},
+	[ATTEMPT_NOT_SENT] = {false, true, REASON_TARGET_RESET},
+	[ATTEMPT_SHED] = {false, false, REASON_TARGET_SHED},
+	[ATTEMPT_RESET] = {true, true, REASON_TARGET_RESET},
+	[ATTEMPT_TRUNCATED] = {true, true, REASON_TARGET_RESET},
+	[ATTEMPT_TIMEOUT] = {true, true, REASON_TARGET_TIMEOUT},
+	[ATTEMPT_MALFORMED] = {true, true, REASON_TARGET_MALFORMED},
+};
+
+static void remove_request(struct request_director *director,
+			   struct open_request *request)
+{
+	uint64_t request_id = request->event.request_id;
+
+	g_hash_table_remove(director->requests, &request_id);
+}
+
+/* Frees an attempt's place at its target and starts what waits for it. */
+void request_director_end_attempt(struct request_director *director,
+				  struct request_attempt *attempt,
+				  int64_t now_ms)
+{
+	struct target_track *track = attempt->track;
+	struct request_pool *pool = attempt->pool;
+	uint64_t attempt_id = attempt->attempt_id;
+
+	track->limit.in_flight--;
+	if (pool)
+		admission_changed(&pool->admission, attempt->work_class, -1,
+				  now_ms);
+	g_hash_table_remove(director->attempts, &attempt_id);
+	if (pool)
+		request_director_pump(director, pool, track, now_ms);
+}
+
+/*
+ * Gives an attempt up. Its place stays taken for as long as such work usually
+ * takes: the target may ignore the cancellation.
+ */
+void request_director_abandon(struct request_director *director,
+			      struct request_attempt *attempt, int64_t now_ms)
+{
+	const struct request_effects *effects = &director->options.effects;
+	const struct request_service *service =
+		request_catalog_service(director->catalog, attempt->service_id);
+	uint32_t usual_ms = service ? request_service_usual_ms(service) : 0;
+
+	attempt->is_abandoned = true;
+	attempt->due_ms = now_ms + MIN(usual_ms, ABANDONED_MOST_MS);
+	deadline_heap_push(director->attempt_deadlines, attempt->due_ms,
+			   attempt->attempt_id);
+	effects->cancel(effects->context, attempt->attempt_id);
+}
+
+/* Learns from an answer's first byte. */
+static void learn_answer(struct request_director *director,
+			 struct request_attempt *attempt, int64_t now_ms)
+{
+	struct request_service *service =
+		request_catalog_service(director->catalog, attempt->service_id);
+	uint32_t latency_ms = (uint32_t)(now_ms - attempt->started_ms);
+
+	attempt->has_headers = true;
+	outlier_succeeded(&attempt->track->outlier, now_ms);
+	if (!service)
+		return;
+	target_limit_answered(&attempt->track->limit, latency_ms,
+			      request_service_usual_ms(service), now_ms);
+	request_service_learn(service, latency_ms);
+}
+
+static void learn_failure(struct request_director *director,
+			  struct request_attempt *attempt, int64_t now_ms)
+{
+	struct request_service *service =
+		request_catalog_service(director->catalog, attempt->service_id);
+
+	if (outlier_failed(&attempt->track->outlier) && service &&
+	    request_catalog_may_eject(director->catalog, service, now_ms))
+		outlier_eject(&attempt->track->outlier, now_ms);
+}
+
+void request_director_learn(struct request_director *director,
+			    struct request_attempt *attempt,
+			    enum attempt_outcome outcome, int64_t now_ms)
+{
+	struct request_service *service =
+		request_catalog_service(director->catalog, attempt->service_id);
+
+	if (outcome == ATTEMPT_WHOLE && !attempt->has_headers)
+		learn_answer(director, attempt, now_ms);
+	if (outcome == ATTEMPT_SHED)
+		target_limit_shed(&attempt->track->limit,
+				  service ? request_service_usual_ms(service)
+					  : 0,
+				  now_ms);
+	if (outcome_rules[outcome].is_failure)
+		learn_failure(director, attempt, now_ms);
+}
+
+/* Whether a request whose attempt came to nothing may be sent once more. */
+static bool may_try_again(struct request_director *director,
+			  const struct open_request *request,
+			  const struct outcome_rule *rule, int64_t now_ms)
+{
+	struct request_service *service = request_catalog_service(
+		director->catalog, request->event.service_id);
+
+	if (!service || request->attempt_count >= ATTEMPTS_MAX ||
+	    now_ms + RETRY_ROOM_MS >= request->event.deadline_ms)
+		return false;
+	if (!rule->may_have_run)
+		return retry_budget_spend(&service->resends);
+	return request->event.is_repeatable &&
+	       retry_budget_spend(&service->retries);
+}
+
+static void try_again(struct request_director *director,
+		      struct open_request *request)
+{
+	struct request_service *service = request_catalog_service(
+		director->catalog, request->event.service_id);
+
+	request->state = REQUEST_WAITING;
+	class_queue_push_first(service->pool->queues[request->work_class],
+			       request->event.caller_hash,
+			       request->event.request_id);
+}
+
+/* Decides what an ended attempt means for the request behind it. */
+void request_director_conclude(struct request_director *director,
+			       struct open_request *request,
+			       enum attempt_outcome outcome, int64_t now_ms)
+{
+	const struct request_effects *effects = &director->options.effects;
+	const struct outcome_rule *rule = &outcome_rules[outcome];
+	uint64_t request_id = request->event.request_id;
+	bool is_answering = request->state == REQUEST_ANSWERING;
+
+	request->may_have_run = request->may_have_run || rule->may_have_run;
+	if (outcome == ATTEMPT_WHOLE || is_answering) {
+		request_director_close_claim(director, request, false);
+		remove_request(director, request);
+		if (outcome != ATTEMPT_WHOLE)
+			effects->fail(effects->context, request_id,
+				      rule->reason);
+		return;
+	}
+	if (may_try_again(director, request, rule, now_ms))
+		try_again(director, request);
+	else
+		request_director_refuse(director, request, rule->reason);
+}
+
+/*
+ * Notes that an attempt's answer begins. From here on the answer belongs to
+ * the caller: no other attempt follows, and a break is a cut connection.
+ */
+void request_director_headers(struct request_director *director,
+			      uint64_t attempt_id, int64_t now_ms)
+{
+	struct request_attempt *attempt =
+		g_hash_table_lookup(director->attempts, &attempt_id);
+	struct open_request *request;
+
+	if (!attempt || attempt->is_abandoned || attempt->has_headers)
+		return;
+	request = g_hash_table_lookup(director->requests, &attempt->request_id);
+	request->state = REQUEST_ANSWERING;
+	request->may_have_run = true;
+	learn_answer(director, attempt, now_ms);
+}
+
+/*
+ * Notes how an attempt ended. The end of an attempt that was cancelled only
+ * frees its place; an unknown id is ignored.
+ */
+void request_director_ended(struct request_director *director,
+			    uint64_t attempt_id, enum attempt_outcome outcome,
+			    int64_t now_ms)
+{
+	struct request_attempt *attempt =
+		g_hash_table_lookup(director->attempts, &attempt_id);
+	struct open_request *request;
+
+	if (!attempt)
+		return;
+	if (!attempt->is_abandoned) {
+		request = g_hash_table_lookup(director->requests,
+					      &attempt->request_id);
+		request_director_learn(director, attempt, outcome, now_ms);
+		request_director_conclude(director, request, outcome, now_ms);
+	}
+	request_director_end_attempt(director, attempt, now_ms);
+}
--- /dev/null
+++ b/core/src/request_catalog.c
@@ -0,0 +1,394 @@
+#include "request_catalog.h"
+
+#define POOL_NONE UINT32_MAX
+
+struct request_catalog {
+	struct request_catalog_options options;
+	struct rule_set *rules;
+	GHashTable *services;
+	GHashTable *tracks;
+	GHashTable *states;
+	GPtrArray *pools;
+};
+
+static guint endpoint_key_hash(gconstpointer key)
+{
+	return (guint)endpoint_hash(key, 0);
+}
+
+static gboolean endpoint_key_equal(gconstpointer a, gconstpointer b)
+{
+	return endpoint_equal(a, b);
+}
+
+static void free_service(gpointer service)
+{
+	request_service_free(service);
+}
+
+static void free_pool(gpointer pool)
+{
+	request_pool_free(pool);
+}
+
+static GHashTable *new_services(void)
+{
+	return g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
+				     free_service);
+}
+
+/* Makes an empty catalog; the caller frees it with request_catalog_free. */
+struct request_catalog *
+request_catalog_new(const struct request_catalog_options *options)
+{
+	struct request_catalog *catalog = g_new0(struct request_catalog, 1);
+
+	catalog->options = *options;
+	catalog->rules = rule_set_new(0);
+	catalog->services = new_services();
+	catalog->tracks = g_hash_table_new_full(
+		endpoint_key_hash, endpoint_key_equal, NULL, g_free);
+	catalog->states = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						g_free, NULL);
+	catalog->pools = g_ptr_array_new_with_free_func(free_pool);
+	return catalog;
+}
+
+/* Frees the catalog; NULL is allowed. */
+void request_catalog_free(struct request_catalog *catalog)
+{
+	if (!catalog)
+		return;
+	g_hash_table_destroy(catalog->services);
+	g_hash_table_destroy(catalog->tracks);
+	g_hash_table_destroy(catalog->states);
+	g_ptr_array_free(catalog->pools, TRUE);
+	rule_set_free(catalog->rules);
+	g_free(catalog);
+}
+
+static bool is_first_rules(const struct request_catalog *catalog)
+{
+	return rule_set_count(catalog->rules) == 0;
+}
+
+static struct target_track *track_of(struct request_catalog *catalog,
+				     const struct target *target, bool is_cold,
+				     int64_t now_ms)
+{
+	struct target_track *track =
+		g_hash_table_lookup(catalog->tracks, &target->endpoint);
+
+	if (track) {
+		if (!track->is_listed && is_cold)
+			slow_start_begin(&track->slow_start, now_ms);
+		track->limit.slot_count = target->slot_count;
+		return track;
+	}
+	track = g_new0(struct target_track, 1);
+	track->endpoint = target->endpoint;
+	target_limit_init(&track->limit, target->slot_count,
+			  catalog->options.node_count);
+	if (is_cold)
+		slow_start_begin(&track->slow_start, now_ms);
+	g_hash_table_insert(catalog->tracks, &track->endpoint, track);
+	return track;
+}
+
+static enum target_state state_of(const struct request_catalog *catalog,
+				  const struct target *target)
+{
+	gpointer state;
+
+	if (g_hash_table_lookup_extended(catalog->states, &target->target_id,
+					 NULL, &state))
+		return (enum target_state)GPOINTER_TO_INT(state);
+	return target->state;
+}
+
+static void merge_pools(GPtrArray *services, uint32_t from, uint32_t into)
+{
+	for (guint i = 0; i < services->len; i++) {
+		struct request_service *service =
+			g_ptr_array_index(services, i);
+
+		if (service->pool_index != from)
+			continue;
+		service->pool_index = into;
+		for (guint j = 0; j < service->tracks->len; j++) {
+			struct target_track *track =
+				g_ptr_array_index(service->tracks, j);
+
+			track->pool_index = into;
+		}
+	}
+}
+
+static void add_targets(struct request_catalog *catalog, GPtrArray *services,
+			struct request_service *service, bool is_cold,
+			int64_t now_ms)
+{
+	const struct rule *rule = service->rule;
+
+	for (uint32_t i = 0; i < rule->target_count; i++) {
+		const struct target *target = &rule->targets[i];
+		struct target_track *track =
+			track_of(catalog, target, is_cold, now_ms);
+
+		g_ptr_array_add(service->tracks, track);
+		service->states[i] = state_of(catalog, target);
+		if (track->pool_index != POOL_NONE &&
+		    track->pool_index != service->pool_index)
+			merge_pools(services, track->pool_index,
+				    service->pool_index);
+		track->pool_index = service->pool_index;
+	}
+}
+
+static void add_members(struct request_service *service, GHashTable *seen)
+{
+	for (uint32_t i = 0; i < service->tracks->len; i++) {
+		struct pool_member member = {
+			.service = service,
+			.track = g_ptr_array_index(service->tracks, i),
+			.index = i,
+		};
+
+		if (g_hash_table_add(seen, member.track))
+			g_array_append_val(service->pool->members, member);
+	}
+}
+
+static void make_pools(struct request_catalog *catalog, GPtrArray *services)
+{
+	GHashTable *pools = g_hash_table_new(g_direct_hash, g_direct_equal);
+	GHashTable *seen = g_hash_table_new(g_direct_hash, g_direct_equal);
+
+	for (guint i = 0; i < services->len; i++) {
+		struct request_service *service =
+			g_ptr_array_index(services, i);
+		gpointer key = GUINT_TO_POINTER(service->pool_index);
+
+		service->pool = g_hash_table_lookup(pools, key);
+		if (!service->pool) {
+			service->pool =
+				request_pool_new(catalog->options.queue_limit);
+			g_hash_table_insert(pools, key, service->pool);
+			g_ptr_array_add(catalog->pools, service->pool);
+		}
+		add_members(service, seen);
+	}
+	g_hash_table_destroy(seen);
+	g_hash_table_destroy(pools);
+}
+
+static void unlist_tracks(struct request_catalog *catalog)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, catalog->tracks);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct target_track *track = value;
+
+		track->pool_index = POOL_NONE;
+	}
+}
+
+static void forget_tracks(struct request_catalog *catalog)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, catalog->tracks);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct target_track *track = value;
+
+		track->is_listed = track->pool_index != POOL_NONE;
+		if (!track->is_listed && track->limit.in_flight == 0)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+/* Of two rules for one service the later is in force; flows need no pool. */
+static bool is_in_force(const struct rule_set *rules, const struct rule *rule)
+{
+	return rule->service.protocol == SERVICE_HTTP &&
+	       rule_set_by_id(rules, rule->service.service_id) == rule;
+}
+
+static struct request_service *take_over(GHashTable *former,
+					 const struct rule *rule)
+{
+	struct request_service *service = request_service_new(rule);
+	const struct request_service *old = g_hash_table_lookup(
+		former, GUINT_TO_POINTER(rule->service.service_id));
+
+	if (old)
+		request_service_inherit(service, old);
+	return service;
+}
+
+/*
+ * Takes a copy of new rules in place of the former ones. Former pools and
+ * services are gone afterwards; addresses with requests in flight stay known.
+ * Targets that were not listed before begin with a slow start, except in the
+ * first rules, when all are as new to this node as each other.
+ */
+void request_catalog_set_rules(struct request_catalog *catalog,
+			       const struct rule_set *rules, int64_t now_ms)
+{
+	bool is_cold = !is_first_rules(catalog);
+	GHashTable *former = catalog->services;
+	GPtrArray *services = g_ptr_array_new();
+	struct rule_set *copy = rule_set_copy(rules);
+
+	catalog->services = new_services();
+	g_ptr_array_set_size(catalog->pools, 0);
+	unlist_tracks(catalog);
+	for (uint32_t i = 0; i < rule_set_count(copy); i++) {
+		const struct rule *rule = rule_set_at(copy, i);
+		struct request_service *service;
+
+		if (!is_in_force(copy, rule))
+			continue;
+		service = take_over(former, rule);
+		service->pool_index = i;
+		add_targets(catalog, services, service, is_cold, now_ms);
+		g_ptr_array_add(services, service);
+		g_hash_table_insert(catalog->services,
+				    GUINT_TO_POINTER(rule->service.service_id),
+				    service);
+	}
+	make_pools(catalog, services);
+	forget_tracks(catalog);
+	g_ptr_array_free(services, TRUE);
+	g_hash_table_destroy(former);
+	rule_set_free(catalog->rules);
+	catalog->rules = copy;
+}
+
+/* Sets how many live nodes share the targets. */
+void request_catalog_set_node_count(struct request_catalog *catalog,
+				    uint32_t node_count)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	catalog->options.node_count = node_count;
+	g_hash_table_iter_init(&iter, catalog->tracks);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct target_track *track = value;
+
+		track->limit.node_count = node_count;
+	}
+}
+
+static void set_state_in(struct request_service *service, uint64_t target_id,
+			 enum target_state state, int64_t now_ms)
+{
+	for (uint32_t i = 0; i < service->rule->target_count; i++) {
+		struct target_track *track;
+
+		if (service->rule->targets[i].target_id != target_id)
+			continue;
+		track = g_ptr_array_index(service->tracks, i);
+		if (state == TARGET_COLD && service->states[i] != TARGET_COLD)
+			slow_start_begin(&track->slow_start, now_ms);
+		service->states[i] = state;
+	}
+}
+
+/* Notes what is said of a target, whether rules list it yet or not. */
+void request_catalog_set_state(struct request_catalog *catalog,
+			       uint64_t target_id, enum target_state state,
+			       int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_replace(catalog->states,
+			     g_memdup2(&target_id, sizeof(target_id)),
+			     GINT_TO_POINTER((gint)state));
+	g_hash_table_iter_init(&iter, catalog->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		set_state_in(value, target_id, state, now_ms);
+}
+
+/* Finds a service in force, or returns NULL. */
+struct request_service *
+request_catalog_service(const struct request_catalog *catalog,
+			uint32_t service_id)
+{
+	return g_hash_table_lookup(catalog->services,
+				   GUINT_TO_POINTER(service_id));
+}
+
+/* Returns the number of pools. */
+uint32_t request_catalog_pool_count(const struct request_catalog *catalog)
+{
+	return catalog->pools->len;
+}
+
+/* Returns the pool at an index below request_catalog_pool_count. */
+struct request_pool *
+request_catalog_pool_at(const struct request_catalog *catalog, uint32_t index)
+{
+	return g_ptr_array_index(catalog->pools, index);
+}
+
+static bool takes_work(const struct request_service *service, uint32_t index,
+		       int64_t now_ms)
+{
+	const struct target_track *track =
+		g_ptr_array_index(service->tracks, index);
+
+	return service->states[index] != TARGET_LEAVING &&
+	       service->states[index] != TARGET_CUT_OFF &&
+	       !outlier_is_ejected(&track->outlier, now_ms);
+}
+
+static void add_limits(struct admission_limits *limits,
+		       struct target_track *track, int64_t now_ms)
+{
+	uint64_t share = slow_start_share_milli(&track->slow_start, now_ms);
+
+	limits->share_milli +=
+		(uint32_t)(target_limit_share_milli(&track->limit) * share /
+			   SLOW_START_FULL_MILLI);
+	limits->limit_milli += (uint32_t)(target_limit_milli(&track->limit) *
+					  share / SLOW_START_FULL_MILLI);
+}
+
+/* Adds up what the targets of a pool that take work leave this node. */
+struct admission_limits request_pool_limits(const struct request_pool *pool,
+					    int64_t now_ms)
+{
+	struct admission_limits limits = {.share_milli = 0};
+
+	for (guint i = 0; i < pool->members->len; i++) {
+		const struct pool_member *member =
+			&g_array_index(pool->members, struct pool_member, i);
+
+		if (takes_work(member->service, member->index, now_ms))
+			add_limits(&limits, member->track, now_ms);
+	}
+	return limits;
+}
+
+/* Tells whether one more target of the service may be ejected. */
+bool request_catalog_may_eject(const struct request_catalog *catalog,
+			       const struct request_service *service,
+			       int64_t now_ms)
+{
+	uint32_t ejected_count = 0;
+
+	for (guint i = 0; i < service->tracks->len; i++) {
+		const struct target_track *track =
+			g_ptr_array_index(service->tracks, i);
+
+		if (outlier_is_ejected(&track->outlier, now_ms))
+			ejected_count++;
+	}
+	return ejected_count < outlier_ejection_limit(service->tracks->len);
+}
--- /dev/null
+++ b/core/src/request_catalog.h
@@ -0,0 +1,40 @@
+#ifndef CORE_REQUEST_CATALOG_H
+#define CORE_REQUEST_CATALOG_H
+
+#include "request_service.h"
+#include <core/rule_set.h>
+
+/*
+ * The services in force with their targets and pools. Pools are made anew
+ * with each set of rules; what was learned of a target's address stays.
+ */
+struct request_catalog;
+
+struct request_catalog_options {
+	uint32_t queue_limit;
+	uint32_t node_count;
+};
+
+struct request_catalog *
+request_catalog_new(const struct request_catalog_options *options);
+void request_catalog_free(struct request_catalog *catalog);
+void request_catalog_set_rules(struct request_catalog *catalog,
+			       const struct rule_set *rules, int64_t now_ms);
+void request_catalog_set_node_count(struct request_catalog *catalog,
+				    uint32_t node_count);
+void request_catalog_set_state(struct request_catalog *catalog,
+			       uint64_t target_id, enum target_state state,
+			       int64_t now_ms);
+struct request_service *
+request_catalog_service(const struct request_catalog *catalog,
+			uint32_t service_id);
+uint32_t request_catalog_pool_count(const struct request_catalog *catalog);
+struct request_pool *
+request_catalog_pool_at(const struct request_catalog *catalog, uint32_t index);
+struct admission_limits request_pool_limits(const struct request_pool *pool,
+					    int64_t now_ms);
+bool request_catalog_may_eject(const struct request_catalog *catalog,
+			       const struct request_service *service,
+			       int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/core/src/request_changes.c
@@ -0,0 +1,237 @@
+/* Changes from outside: rules, nodes, targets, callers that leave, time. */
+#include "request_state.h"
+
+static void pump_all(struct request_director *director, int64_t now_ms)
+{
+	uint32_t count = request_catalog_pool_count(director->catalog);
+
+	for (uint32_t i = 0; i < count; i++)
+		request_director_pump(
+			director, request_catalog_pool_at(director->catalog, i),
+			NULL, now_ms);
+}
+
+/* Counts the attempts in flight at the pools that new rules made. */
+static void move_attempts(struct request_director *director, int64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, director->attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct request_attempt *attempt = value;
+		struct request_service *service = request_catalog_service(
+			director->catalog, attempt->service_id);
+
+		attempt->pool = service ? service->pool : NULL;
+		if (attempt->pool)
+			admission_changed(&attempt->pool->admission,
+					  attempt->work_class, 1, now_ms);
+	}
+}
+
+static gint compare_sequence(gconstpointer a, gconstpointer b)
+{
+	const struct open_request *left = *(struct open_request *const *)a;
+	const struct open_request *right = *(struct open_request *const *)b;
+
+	return left->sequence < right->sequence ? -1 : 1;
+}
+
+static GPtrArray *waiting_in_order(const struct request_director *director)
+{
+	GPtrArray *waiting = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, director->requests);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct open_request *request = value;
+
+		if (request->state == REQUEST_WAITING)
+			g_ptr_array_add(waiting, value);
+	}
+	g_ptr_array_sort(waiting, compare_sequence);
+	return waiting;
+}
+
+static void move_waiting(struct request_director *director)
+{
+	GPtrArray *waiting = waiting_in_order(director);
+
+	for (guint i = 0; i < waiting->len; i++) {
+		struct open_request *request = g_ptr_array_index(waiting, i);
+		struct request_service *service = request_catalog_service(
+			director->catalog, request->event.service_id);
+
+		if (!service) {
+			request_director_refuse(director, request,
+						REASON_NO_SERVICE);
+			continue;
+		}
+		request->work_class = service->rule->service.work_class;
+		class_queue_push(service->pool->queues[request->work_class],
+				 request->event.caller_hash,
+				 request->event.request_id);
+	}
+	g_ptr_array_free(waiting, TRUE);
+}
+
+/*
+ * Puts new rules in force. Requests in progress go on; those that wait do so
+ * under the new rules, or are refused when their service is gone.
+ */
+void request_director_set_rules(struct request_director *director,
+				const struct rule_set *rules, int64_t now_ms)
+{
+	request_catalog_set_rules(director->catalog, rules, now_ms);
+	move_attempts(director, now_ms);
+	move_waiting(director);
+	pump_all(director, now_ms);
+}
+
+/* Sets how many live nodes share the targets; 0 counts as 1. */
+void request_director_set_node_count(struct request_director *director,
+				     uint32_t node_count)
+{
+	request_catalog_set_node_count(director->catalog, node_count);
+}
+
+/*
+ * Notes what the VM list or a probe says of a target. A leaving or cut-off
+ * one gets nothing new; the word of a probe yields to the target's answers.
+ */
+void request_director_set_target_state(struct request_director *director,
+				       uint64_t target_id,
+				       enum target_state state, int64_t now_ms)
+{
+	request_catalog_set_state(director->catalog, target_id, state, now_ms);
+	pump_all(director, now_ms);
+}
+
+static void stop_attempt(struct request_director *director,
+			 const struct open_request *request, int64_t now_ms)
+{
+	struct request_attempt *attempt =
+		g_hash_table_lookup(director->attempts, &request->attempt_id);
+
+	request_director_abandon(director, attempt, now_ms);
+}
+
+static void leave_queue(struct request_director *director,
+			const struct open_request *request)
+{
+	struct request_service *service = request_catalog_service(
+		director->catalog, request->event.service_id);
+
+	class_queue_remove(service->pool->queues[request->work_class],
+			   request->event.caller_hash,
+			   request->event.request_id);
+}
+
+/*
+ * Forgets a request whose caller has gone. An attempt in flight is cancelled;
+ * the claim of one that may have run stays.
+ */
+void request_director_caller_gone(struct request_director *director,
+				  uint64_t request_id, int64_t now_ms)
+{
+	struct open_request *request =
+		g_hash_table_lookup(director->requests, &request_id);
+
+	if (!request)
+		return;
+	if (request->state == REQUEST_WAITING)
+		leave_queue(director, request);
+	if (request->state >= REQUEST_RUNNING) {
+		request->may_have_run = true;
+		stop_attempt(director, request, now_ms);
+	}
+	request_director_close_claim(director, request, !request->may_have_run);
+	g_hash_table_remove(director->requests, &request_id);
+}
+
+/* From here on new requests are refused; those accepted before go on. */
+void request_director_drain(struct request_director *director, int64_t now_ms)
+{
+	director->is_draining = true;
+}
+
+/* Returns how many callers still wait for an answer. */
+uint32_t request_director_open_count(const struct request_director *director)
+{
+	return g_hash_table_size(director->requests);
+}
+
+static void time_out(struct request_director *director,
+		     struct request_attempt *attempt, int64_t now_ms)
+{
+	struct open_request *request =
+		g_hash_table_lookup(director->requests, &attempt->request_id);
+	struct request_pool *pool = attempt->pool;
+
+	request_director_learn(director, attempt, ATTEMPT_TIMEOUT, now_ms);
+	request_director_abandon(director, attempt, now_ms);
+	request_director_conclude(director, request, ATTEMPT_TIMEOUT, now_ms);
+	if (pool)
+		request_director_pump(director, pool, NULL, now_ms);
+}
+
+static void attempt_due(struct request_director *director, uint64_t attempt_id,
+			int64_t now_ms)
+{
+	struct request_attempt *attempt =
+		g_hash_table_lookup(director->attempts, &attempt_id);
+
+	if (!attempt || attempt->due_ms > now_ms)
+		return;
+	if (attempt->is_abandoned)
+		request_director_end_attempt(director, attempt, now_ms);
+	else if (!attempt->has_headers)
+		time_out(director, attempt, now_ms);
+}
+
+static void request_due(struct request_director *director, uint64_t request_id,
+			int64_t now_ms)
+{
+	struct open_request *request =
+		g_hash_table_lookup(director->requests, &request_id);
+
+	if (!request)
+		return;
+	if (request->state == REQUEST_CLAIMING) {
+		request_director_refuse(director, request, REASON_KEY_UNKNOWN);
+	} else if (request->state == REQUEST_WAITING &&
+		   request->event.deadline_ms <= now_ms) {
+		leave_queue(director, request);
+		request_director_refuse(director, request, REASON_DEADLINE);
+	}
+}
+
+/*
+ * Does what time alone brings: deadlines of attempts, claims and waiting
+ * requests, and shares that allow the next start. Returns when to be called
+ * next, INT64_MAX for not before another event.
+ */
+int64_t request_director_tick(struct request_director *director, int64_t now_ms)
+{
+	uint32_t count = request_catalog_pool_count(director->catalog);
+	int64_t next_ms;
+	uint64_t id;
+
+	while (deadline_heap_pop(director->attempt_deadlines, now_ms, &id))
+		attempt_due(director, id, now_ms);
+	while (deadline_heap_pop(director->request_deadlines, now_ms, &id))
+		request_due(director, id, now_ms);
+	next_ms = MIN(deadline_heap_next_ms(director->attempt_deadlines),
+		      deadline_heap_next_ms(director->request_deadlines));
+	for (uint32_t i = 0; i < count; i++) {
+		struct request_pool *pool =
+			request_catalog_pool_at(director->catalog, i);
+
+		if (pool->retry_ms <= now_ms)
+			request_director_pump(director, pool, NULL, now_ms);
+		next_ms = MIN(next_ms, pool->retry_ms);
+	}
+	return next_ms;
+}
--- /dev/null
+++ b/core/src/request_dispatch.c
@@ -0,0 +1,292 @@
+/* Starting requests: which class, which target, and when to look again. */
+#include "request_state.h"
+
+#include <core/target_choice.h>
+
+#define FAILING_TRUST_MS 2000
+#define INDEX_NONE UINT32_MAX
+#define INDEX_WAIT (UINT32_MAX - 1)
+
+/* How a target stands with one request. */
+enum availability {
+	AVAILABLE,
+	AVAILABLE_LATER,
+	AVAILABLE_IN_NEED,
+	UNAVAILABLE,
+};
+
+/*
+ * A target reported as failing that answered this node a moment ago is taken
+ * at its answers: reports lag, and may be wrong.
+ */
+static bool is_doubtful(const struct target_track *track,
+			enum target_state state, int64_t now_ms)
+{
+	if (outlier_is_ejected(&track->outlier, now_ms))
+		return true;
+	return state == TARGET_FAILING &&
+	       now_ms - track->outlier.answered_ms > FAILING_TRUST_MS;
+}
+
+static enum availability availability(const struct target_track *track,
+				      enum target_state state, int64_t now_ms)
+{
+	if (state == TARGET_LEAVING || state == TARGET_CUT_OFF)
+		return UNAVAILABLE;
+	if (is_doubtful(track, state, now_ms))
+		return AVAILABLE_IN_NEED;
+	if (target_limit_is_busy(&track->limit, now_ms) ||
+	    track->limit.in_flight >= target_limit_in_flight_max(&track->limit))
+		return AVAILABLE_LATER;
+	return AVAILABLE;
+}
+
+/* A cold target is drawn as often as its share says. */
+static bool is_drawn(struct request_director *director,
+		     struct target_track *track, int64_t now_ms)
+{
+	uint32_t share = slow_start_share_milli(&track->slow_start, now_ms);
+
+	return share >= SLOW_START_FULL_MILLI ||
+	       (uint32_t)g_rand_int_range(director->rand, 0,
+					  SLOW_START_FULL_MILLI) < share;
+}
+
+/* What a look at all targets of a service found. */
+struct survey {
+	uint32_t freed_index;
+	uint32_t cold_index;
+	uint32_t tried_index;
+	uint32_t in_need_index;
+	uint32_t later_count;
+	int64_t later_ms;
+};
+
+static void add_candidate(struct request_director *director,
+			  const struct target_track *track, uint32_t index)
+{
+	struct target_candidate candidate = {
+		.index = index,
+		.in_flight = track->limit.in_flight,
+		.limit_milli = target_limit_milli(&track->limit),
+		.slowness_milli = track->limit.slowness_milli,
+	};
+
+	g_array_append_val(director->candidates, candidate);
+}
+
+static void note_later(struct survey *survey, const struct target_track *track,
+		       int64_t now_ms)
+{
+	survey->later_count++;
+	if (target_limit_is_busy(&track->limit, now_ms) &&
+	    track->limit.busy_until_ms < survey->later_ms)
+		survey->later_ms = track->limit.busy_until_ms;
+}
+
+static void note_available(struct request_director *director,
+			   const struct open_request *request,
+			   struct survey *survey, struct target_track *track,
+			   uint32_t index, int64_t now_ms)
+{
+	if (request->attempt_count > 0 &&
+	    endpoint_equal(&track->endpoint, &request->tried))
+		survey->tried_index = index;
+	else if (is_drawn(director, track, now_ms))
+		add_candidate(director, track, index);
+	else
+		survey->cold_index = index;
+}
+
+static void look(struct request_director *director,
+		 const struct request_service *service,
+		 const struct open_request *request,
+		 const struct target_track *freed, struct survey *survey,
+		 int64_t now_ms)
+{
+	for (uint32_t i = 0; i < service->tracks->len; i++) {
+		struct target_track *track =
+			g_ptr_array_index(service->tracks, i);
+
+		if (track == freed)
+			survey->freed_index = i;
+		switch (availability(track, service->states[i], now_ms)) {
+		case AVAILABLE:
+			note_available(director, request, survey, track, i,
+				       now_ms);
+			break;
+		case AVAILABLE_LATER:
+			note_later(survey, track, now_ms);
+			break;
+		case AVAILABLE_IN_NEED:
+			if (track->limit.in_flight <
+			    target_limit_in_flight_max(&track->limit))
+				survey->in_need_index = i;
+			else
+				survey->later_count++;
+			break;
+		case UNAVAILABLE:
+			break;
+		}
+	}
+}
+
+/*
+ * Picks a target for a request, or returns INDEX_WAIT when one will come free
+ * and INDEX_NONE when none can. A request tried before goes elsewhere while
+ * it can.
+ */
+static uint32_t select_target(struct request_director *director,
+			      const struct request_service *service,
+			      const struct open_request *request,
+			      const struct target_track *freed,
+			      int64_t *later_ms, int64_t now_ms)
+{
+	struct survey survey = {INDEX_NONE, INDEX_NONE, INDEX_NONE,
+				INDEX_NONE, 0,		INT64_MAX};
+
+	g_array_set_size(director->candidates, 0);
+	look(director, service, request, freed, &survey, now_ms);
+	if (director->candidates->len > 0)
+		return target_choice(
+			(struct target_candidate *)director->candidates->data,
+			director->candidates->len, survey.freed_index,
+			director->rand);
+	if (survey.cold_index != INDEX_NONE)
+		return survey.cold_index;
+	if (survey.tried_index != INDEX_NONE)
+		return survey.tried_index;
+	*later_ms = MIN(*later_ms, survey.later_ms);
+	if (survey.later_count > 0)
+		return INDEX_WAIT;
+	return survey.in_need_index;
+}
+
+/* A request that may be tried twice leaves time for the second attempt. */
+static int64_t attempt_due_ms(const struct open_request *request,
+			      int64_t now_ms)
+{
+	int64_t left_ms = request->event.deadline_ms - now_ms;
+
+	if (request->event.is_repeatable && request->attempt_count == 0)
+		left_ms -= left_ms / 2;
+	return now_ms + left_ms;
+}
+
+static struct placement place(const struct request_service *service,
+			      const struct open_request *request,
+			      uint32_t index)
+{
+	const struct target *target = &service->rule->targets[index];
+
+	return (struct placement){
+		.kind = PLACE_TO_TARGET,
+		.reason =
+			request->attempt_count ? REASON_RETRY : REASON_ADMITTED,
+		.service_id = service->rule->service.service_id,
+		.target_id = target->target_id,
+		.endpoint = target->endpoint,
+	};
+}
+
+static void start(struct request_director *director,
+		  struct request_service *service, struct open_request *request,
+		  uint32_t index, int64_t now_ms)
+{
+	const struct request_effects *effects = &director->options.effects;
+	struct request_attempt *attempt = g_new0(struct request_attempt, 1);
+
+	attempt->attempt_id = ++director->next_attempt_id;
+	attempt->request_id = request->event.request_id;
+	attempt->service_id = request->event.service_id;
+	attempt->work_class = request->work_class;
+	attempt->track = g_ptr_array_index(service->tracks, index);
+	attempt->pool = service->pool;
+	attempt->placement = place(service, request, index);
+	attempt->started_ms = now_ms;
+	attempt->due_ms = attempt_due_ms(request, now_ms);
+	attempt->track->limit.in_flight++;
+	admission_changed(&service->pool->admission, request->work_class, 1,
+			  now_ms);
+	if (request->attempt_count == 0) {
+		retry_budget_earn(&service->retries);
+		retry_budget_earn(&service->resends);
+	}
+	request->state = REQUEST_RUNNING;
+	request->attempt_id = attempt->attempt_id;
+	request->attempt_count++;
+	request->tried = attempt->track->endpoint;
+	g_hash_table_insert(director->attempts, &attempt->attempt_id, attempt);
+	deadline_heap_push(director->attempt_deadlines, attempt->due_ms,
+			   attempt->attempt_id);
+	effects->log(effects->context, request->event.request_id,
+		     attempt->attempt_id, &attempt->placement);
+	effects->start(effects->context, request->event.request_id,
+		       attempt->attempt_id, &attempt->placement,
+		       attempt->due_ms);
+}
+
+/* Starts, refuses or leaves the request whose turn it is; false: leaves. */
+static bool dispatch(struct request_director *director,
+		     struct request_pool *pool, struct class_queue *queue,
+		     const struct target_track *freed, int64_t *later_ms,
+		     int64_t now_ms)
+{
+	struct open_request *request;
+	struct request_service *service;
+	uint64_t request_id;
+	uint32_t index;
+
+	class_queue_peek(queue, &request_id);
+	request = g_hash_table_lookup(director->requests, &request_id);
+	service = request_catalog_service(director->catalog,
+					  request->event.service_id);
+	index = INDEX_NONE;
+	if (now_ms < request->event.deadline_ms)
+		index = select_target(director, service, request, freed,
+				      later_ms, now_ms);
+	if (index == INDEX_WAIT)
+		return false;
+	class_queue_pop(queue, &request_id);
+	if (now_ms >= request->event.deadline_ms)
+		request_director_refuse(director, request, REASON_DEADLINE);
+	else if (index == INDEX_NONE)
+		request_director_refuse(director, request, REASON_NO_TARGET);
+	else
+		start(director, service, request, index, now_ms);
+	return true;
+}
+
+/*
+ * Starts what may start at a pool now and notes when to look again. freed is
+ * the target whose request has just ended, or NULL.
+ */
+void request_director_pump(struct request_director *director,
+			   struct request_pool *pool,
+			   const struct target_track *freed, int64_t now_ms)
+{
+	struct admission_limits limits = request_pool_limits(pool, now_ms);
+	bool has_waiting[CLASS_COUNT];
+	int64_t later_ms = INT64_MAX;
+	enum work_class next;
+
+	for (int i = 0; i < CLASS_COUNT; i++)
+		has_waiting[i] = class_queue_length(pool->queues[i]) > 0;
+	/* Without a target that takes work, let each be refused for that. */
+	if (limits.share_milli == 0)
+		limits = (struct admission_limits){UINT16_MAX, UINT16_MAX};
+	while (admission_next(&pool->admission, &limits, has_waiting, &next,
+			      now_ms)) {
+		struct class_queue *queue = pool->queues[next];
+
+		has_waiting[next] = dispatch(director, pool, queue, freed,
+					     &later_ms, now_ms) &&
+				    class_queue_length(queue) > 0;
+		freed = NULL;
+	}
+	pool->retry_ms = INT64_MAX;
+	if (request_pool_has_waiting(pool))
+		pool->retry_ms =
+			MIN(later_ms, admission_retry_ms(&pool->admission,
+							 &limits, now_ms));
+}
--- /dev/null
+++ b/core/src/request_pool.h
@@ -0,0 +1,30 @@
+#ifndef CORE_REQUEST_POOL_H
+#define CORE_REQUEST_POOL_H
+
+#include <core/admission.h>
+#include <core/class_queue.h>
+#include <glib.h>
+
+struct request_service;
+struct target_track;
+
+/* A target of a pool, and the first service that lists it. */
+struct pool_member {
+	struct request_service *service;
+	struct target_track *track;
+	uint32_t index;
+};
+
+/* Services that share targets share a pool: its queues and its admission. */
+struct request_pool {
+	struct class_queue *queues[CLASS_COUNT];
+	struct admission admission;
+	GArray *members;
+	int64_t retry_ms;
+};
+
+struct request_pool *request_pool_new(uint32_t queue_limit);
+void request_pool_free(struct request_pool *pool);
+bool request_pool_has_waiting(const struct request_pool *pool);
+
+#endif
--- /dev/null
+++ b/core/src/request_service.c
@@ -0,0 +1,66 @@
+#include "request_service.h"
+
+#define MICRO_PER_MS 1000
+#define USUAL_FIRST_MS 10
+#define USUAL_WEIGHT 32
+#define RETRY_GAIN_MILLI 100
+#define RETRY_LIMIT_MILLI 10000
+#define RESEND_GAIN_MILLI 1000
+#define RESEND_LIMIT_MILLI 100000
+
+/*
+ * Makes a service without targets. A retry after an attempt that may have run
+ * costs ten first attempts; sending again what provably did not run costs one.
+ */
+struct request_service *request_service_new(const struct rule *rule)
+{
+	struct request_service *service = g_new0(struct request_service, 1);
+
+	service->rule = rule;
+	service->tracks = g_ptr_array_new();
+	service->states = g_new0(enum target_state, rule->target_count);
+	service->usual_micro = USUAL_FIRST_MS * MICRO_PER_MS;
+	retry_budget_init(&service->retries, RETRY_GAIN_MILLI,
+			  RETRY_LIMIT_MILLI);
+	retry_budget_init(&service->resends, RESEND_GAIN_MILLI,
+			  RESEND_LIMIT_MILLI);
+	return service;
+}
+
+/* Frees the service; rule, pool and tracks belong to the director. */
+void request_service_free(struct request_service *service)
+{
+	if (!service)
+		return;
+	g_ptr_array_free(service->tracks, TRUE);
+	g_free(service->states);
+	g_free(service);
+}
+
+/* Takes over what a service learned under former rules. */
+void request_service_inherit(struct request_service *service,
+			     const struct request_service *former)
+{
+	service->usual_micro = former->usual_micro;
+	service->retries = former->retries;
+	service->resends = former->resends;
+}
+
+/* Learns how long the service's requests usually take. */
+void request_service_learn(struct request_service *service, uint32_t latency_ms)
+{
+	uint64_t latency_micro = (uint64_t)latency_ms * MICRO_PER_MS;
+
+	service->usual_micro = (uint32_t)(((uint64_t)service->usual_micro *
+						   (USUAL_WEIGHT - 1) +
+					   latency_micro) /
+					  USUAL_WEIGHT);
+}
+
+/* Returns how long the service's requests usually take, at least 1 ms. */
+uint32_t request_service_usual_ms(const struct request_service *service)
+{
+	uint32_t usual_ms = service->usual_micro / MICRO_PER_MS;
+
+	return usual_ms ? usual_ms : 1;
+}
--- /dev/null
+++ b/core/src/request_service.h
@@ -0,0 +1,30 @@
+#ifndef CORE_REQUEST_SERVICE_H
+#define CORE_REQUEST_SERVICE_H
+
+#include "request_pool.h"
+#include "target_track.h"
+#include <core/retry_budget.h>
+#include <core/rule.h>
+#include <glib.h>
+
+/* A service in force: its rule, its targets and what its requests taught. */
+struct request_service {
+	const struct rule *rule;
+	struct request_pool *pool;
+	uint32_t pool_index;
+	GPtrArray *tracks;
+	enum target_state *states;
+	uint32_t usual_micro;
+	struct retry_budget retries;
+	struct retry_budget resends;
+};
+
+struct request_service *request_service_new(const struct rule *rule);
+void request_service_free(struct request_service *service);
+void request_service_inherit(struct request_service *service,
+			     const struct request_service *former);
+void request_service_learn(struct request_service *service,
+			   uint32_t latency_ms);
+uint32_t request_service_usual_ms(const struct request_service *service);
+
+#endif
--- /dev/null
+++ b/core/src/request_state.h
@@ -0,0 +1,45 @@
+#ifndef CORE_REQUEST_STATE_H
+#define CORE_REQUEST_STATE_H
+
+#include "open_request.h"
+#include "request_attempt.h"
+#include "request_catalog.h"
+#include <core/deadline_heap.h>
+#include <core/request_director.h>
+
+/* What a request director holds; its parts share this. */
+struct request_director {
+	struct request_director_options options;
+	struct request_catalog *catalog;
+	GHashTable *requests;
+	GHashTable *attempts;
+	struct deadline_heap *request_deadlines;
+	struct deadline_heap *attempt_deadlines;
+	uint64_t next_attempt_id;
+	uint64_t next_sequence;
+	GArray *candidates;
+	GRand *rand;
+	bool is_draining;
+};
+
+void request_director_refuse(struct request_director *director,
+			     struct open_request *request, enum reason reason);
+void request_director_pump(struct request_director *director,
+			   struct request_pool *pool,
+			   const struct target_track *freed, int64_t now_ms);
+void request_director_abandon(struct request_director *director,
+			      struct request_attempt *attempt, int64_t now_ms);
+void request_director_end_attempt(struct request_director *director,
+				  struct request_attempt *attempt,
+				  int64_t now_ms);
+void request_director_close_claim(struct request_director *director,
+				  const struct open_request *request,
+				  bool did_not_run);
+void request_director_learn(struct request_director *director,
+			    struct request_attempt *attempt,
+			    enum attempt_outcome outcome, int64_t now_ms);
+void request_director_conclude(struct request_director *director,
+			       struct open_request *request,
+			       enum attempt_outcome outcome, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/core/src/target_choice.c
@@ -0,0 +1,49 @@
+#include <core/target_choice.h>
+
+static uint64_t load(const struct target_candidate *candidate)
+{
+	uint32_t limit_milli = MAX(candidate->limit_milli, 1);
+
+	return ((uint64_t)candidate->in_flight + 1) * 1000 *
+	       candidate->slowness_milli / limit_milli;
+}
+
+static uint32_t find(const struct target_candidate *candidates,
+		     uint32_t candidate_count, uint32_t index)
+{
+	for (uint32_t i = 0; i < candidate_count; i++) {
+		if (candidates[i].index == index)
+			return i;
+	}
+	return CANDIDATE_NONE;
+}
+
+/*
+ * Picks the less loaded of two targets drawn at random (Mitzenmacher, 2001)
+ * and returns its index, or CANDIDATE_NONE when there is no candidate. A
+ * target that has just ended a request, first_index, is one of the two: it
+ * is the one place known to have come free.
+ */
+uint32_t target_choice(const struct target_candidate *candidates,
+		       uint32_t candidate_count, uint32_t first_index,
+		       GRand *rand)
+{
+	uint32_t first;
+	uint32_t second;
+
+	if (candidate_count == 0)
+		return CANDIDATE_NONE;
+	first = find(candidates, candidate_count, first_index);
+	if (first == CANDIDATE_NONE)
+		first = (uint32_t)g_rand_int_range(rand, 0,
+						   (gint32)candidate_count);
+	if (candidate_count == 1)
+		return candidates[first].index;
+	second = (uint32_t)g_rand_int_range(rand, 0,
+					    (gint32)candidate_count - 1);
+	if (second >= first)
+		second++;
+	if (load(&candidates[second]) < load(&candidates[first]))
+		first = second;
+	return candidates[first].index;
+}
