Add the roster of claim holders and the messages of the claims task

Cause: the request task and the reader of the platform's store need to know what they will tell the claims task, before that task exists.

Ruled out: deriving the holders from each node's own view, which differs from node to node at the moments that matter.

Conclusion: the contract for the claims; the holder itself follows.

--- /dev/null
+++ b/core/src/roster.c
@@ -0,0 +1,152 @@
+#include <core/roster.h>
+
+#include <core/node.h>
+#include <stdlib.h>
+#include <string.h>
+
+static int compare_members(const void *a, const void *b)
+{
+	const struct roster_member *left = a;
+	const struct roster_member *right = b;
+
+	if (left->node_id == right->node_id)
+		return 0;
+	return left->node_id < right->node_id ? -1 : 1;
+}
+
+static bool is_same(const struct roster_epoch *a, const struct roster_epoch *b)
+{
+	if (a->member_count != b->member_count)
+		return false;
+	for (uint32_t i = 0; i < a->member_count; i++) {
+		if (a->members[i].node_id != b->members[i].node_id ||
+		    a->members[i].zone_id != b->members[i].zone_id)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Makes the roster that follows another one, or the first one when roster is
+ * NULL. Returns false when the members are none or too many, or the same as
+ * before.
+ */
+bool roster_next(struct roster *next, const struct roster *roster,
+		 const struct roster_member *members, uint32_t member_count)
+{
+	struct roster made = {.epoch = 1, .epoch_count = 1};
+	struct roster_epoch *epoch = &made.epochs[0];
+
+	if (member_count == 0 || member_count > ROSTER_MEMBERS_MAX)
+		return false;
+	epoch->member_count = member_count;
+	memcpy(epoch->members, members, member_count * sizeof(*members));
+	qsort(epoch->members, member_count, sizeof(*members), compare_members);
+	if (roster) {
+		if (is_same(epoch, &roster->epochs[0]))
+			return false;
+		made.epoch = roster->epoch + 1;
+		for (uint32_t i = 0; i < roster->epoch_count &&
+				     made.epoch_count < ROSTER_EPOCHS_MAX;
+		     i++)
+			made.epochs[made.epoch_count++] = roster->epochs[i];
+	}
+	*next = made;
+	return true;
+}
+
+/* Returns the members of an epoch, or NULL when the roster lacks them. */
+const struct roster_epoch *roster_at(const struct roster *roster,
+				     uint64_t epoch)
+{
+	if (epoch == 0 || epoch > roster->epoch ||
+	    roster->epoch - epoch >= roster->epoch_count)
+		return NULL;
+	return &roster->epochs[roster->epoch - epoch];
+}
+
+static bool is_zone_taken(const struct roster_epoch *epoch,
+			  const bool is_taken[ROSTER_MEMBERS_MAX],
+			  uint32_t zone_id)
+{
+	for (uint32_t i = 0; i < epoch->member_count; i++) {
+		if (is_taken[i] && epoch->members[i].zone_id == zone_id)
+			return true;
+	}
+	return false;
+}
+
+/* The best member not taken, in a zone not taken while zones suffice. */
+static uint32_t best_member(const struct roster_epoch *epoch,
+			    const bool is_taken[ROSTER_MEMBERS_MAX],
+			    bool has_other_zone, struct flow_print key)
+{
+	uint32_t best = ROSTER_MEMBERS_MAX;
+	uint64_t best_score = 0;
+
+	for (uint32_t i = 0; i < epoch->member_count; i++) {
+		const struct roster_member *member = &epoch->members[i];
+		uint64_t score;
+
+		if (is_taken[i] ||
+		    (has_other_zone &&
+		     is_zone_taken(epoch, is_taken, member->zone_id)))
+			continue;
+		score = node_rank_score(member->node_id, key.low);
+		if (best < ROSTER_MEMBERS_MAX && score <= best_score)
+			continue;
+		best = i;
+		best_score = score;
+	}
+	return best;
+}
+
+/*
+ * Returns the members that hold a key in an epoch: the best by rendezvous
+ * hashing (Thaler and Ravishankar, 1998), one a zone while zones suffice, so
+ * that no single zone has a majority of them.
+ */
+struct roster_holders roster_holders_of(const struct roster_epoch *epoch,
+					struct flow_print key)
+{
+	bool is_taken[ROSTER_MEMBERS_MAX] = {false};
+	struct roster_holders holders = {.count = 0};
+
+	while (holders.count < ROSTER_HOLDERS_MAX &&
+	       holders.count < epoch->member_count) {
+		uint32_t best = best_member(epoch, is_taken, true, key);
+
+		if (best == ROSTER_MEMBERS_MAX)
+			best = best_member(epoch, is_taken, false, key);
+		is_taken[best] = true;
+		holders.node_ids[holders.count++] =
+			epoch->members[best].node_id;
+	}
+	return holders;
+}
+
+/* Tells whether a node is among the holders. */
+bool roster_holders_has(const struct roster_holders *holders, uint64_t node_id)
+{
+	for (uint32_t i = 0; i < holders->count; i++) {
+		if (holders->node_ids[i] == node_id)
+			return true;
+	}
+	return false;
+}
+
+/* Returns how many of count are more than half. */
+uint32_t roster_majority(uint32_t count)
+{
+	return count / 2 + 1;
+}
+
+/* Tells whether a node is a member in an epoch. */
+bool roster_epoch_has(const struct roster_epoch *epoch, uint64_t node_id)
+{
+	for (uint32_t i = 0; i < epoch->member_count; i++) {
+		if (epoch->members[i].node_id == node_id)
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/daemon/src/claim_request_message.c
@@ -0,0 +1,28 @@
+#include <daemon/claim_request_message.h>
+
+static void claim_request_message_free(struct message *message)
+{
+	g_free(message);
+}
+
+const struct message_type claim_request_message_type = {
+	"claim_request", claim_request_message_free};
+
+/*
+ * Makes the message; the mailbox that takes it owns it. reply_to must outlive
+ * the claims task.
+ */
+struct message *claim_request_message_new(enum claim_action action,
+					  const struct request_event *event,
+					  struct task *reply_to)
+{
+	struct claim_request_message *request =
+		g_new0(struct claim_request_message, 1);
+
+	request->message.type = &claim_request_message_type;
+	request->action = action;
+	request->request_id = event->request_id;
+	request->key = event->idempotency_print;
+	request->reply_to = reply_to;
+	return &request->message;
+}
