Read rule lines with columns and merge them by line

Cause: the grammar reported faults without a place and the configuration had no way for two operators to edit it at once.

Change: a line is read by a table of fields that reports the column with what was found and expected; v=2 lines name incarnations of targets and lines of a later form are told apart from mistakes. rules_text reads a whole file so that a bad line spares its neighbours. rules_document keeps a version for each line and joins by the newer one; rules_merge decides each line of an operator's file against what it held when last merged and against the store.

Ruled out: a counter as revision, which a store restored to an older state gives out anew, so revisions follow the writers' wall clock and always rise. An edit that returns a line to a former text is not told from a stale copy by its text alone, so it has to say in its comment who asks.

--- a/core/include/core/rule.h
+++ b/core/include/core/rule.h
@@ -1,15 +1,25 @@
 #ifndef CORE_RULE_H
 #define CORE_RULE_H
 
+#include <core/rule_fault.h>
 #include <core/service.h>
 #include <glib.h>
 
+/* The forms of a rule line; form 2 names incarnations of targets. */
+#define RULE_FORM_FIRST 1
+#define RULE_FORM_LAST 2
+
+#define RULE_LINE_BYTES_MAX 65536
+
 /*
  * One accepted line of the rules file. The rule owns its arrays and strings;
- * targets carry the service's id, and ids of their own.
+ * targets carry the service's id, and ids of their own. The generation is
+ * the revision of the configuration at which the line last changed.
  */
 struct rule {
 	struct service service;
+	uint32_t form;
+	uint64_t generation;
 	uint32_t address_count;
 	struct endpoint *addresses;
 	uint32_t target_count;
@@ -17,6 +27,8 @@
 	char *comment;
 };
 
+struct rule *rule_read(const char *line, size_t length_bytes,
+		       struct rule_fault *fault);
 struct rule *rule_parse(const char *line, GError **error);
 struct rule *rule_copy(const struct rule *rule);
 void rule_free(struct rule *rule);
--- /dev/null
+++ b/core/include/core/rules_outcome.h
@@ -0,0 +1,35 @@
+#ifndef CORE_RULES_OUTCOME_H
+#define CORE_RULES_OUTCOME_H
+
+#include <core/rule_fault.h>
+#include <core/service.h>
+
+#define RULES_REASON_BYTES 320
+
+/* What became of one line of an operator's file. */
+enum rules_verdict {
+	RULES_IN_STORE,
+	RULES_ACCEPTED,
+	RULES_DELETED,
+	RULES_CHANGED_ELSEWHERE,
+	RULES_BAD,
+	RULES_CONFLICT,
+	RULES_STALE,
+	RULES_HELD,
+	RULES_VERDICT_COUNT,
+};
+
+/* The verdict on one line; number is 0 for a line that left the file. */
+struct rules_outcome {
+	char name[SERVICE_NAME_BYTES];
+	uint32_t number;
+	uint32_t column;
+	enum rules_verdict verdict;
+	uint64_t generation;
+	char reason[RULES_REASON_BYTES];
+};
+
+const char *rules_verdict_name(enum rules_verdict verdict);
+bool rules_verdict_is_rejection(enum rules_verdict verdict);
+
+#endif
--- /dev/null
+++ b/core/include/core/rules_text_line.h
@@ -0,0 +1,21 @@
+#ifndef CORE_RULES_TEXT_LINE_H
+#define CORE_RULES_TEXT_LINE_H
+
+#include <core/rule.h>
+
+/*
+ * One line of a rules file. A good line has its rule; a bad one has a fault
+ * and, where its first word could be read, still its name.
+ */
+struct rules_text_line {
+	uint32_t number;
+	uint32_t indent_columns;
+	char name[SERVICE_NAME_BYTES];
+	char *text;
+	struct rule *rule;
+	struct rule_fault fault;
+};
+
+void rules_text_line_free(struct rules_text_line *line);
+
+#endif
--- /dev/null
+++ b/core/src/rule_fields.h
@@ -0,0 +1,26 @@
+#ifndef RULE_FIELDS_H
+#define RULE_FIELDS_H
+
+#include <core/rule.h>
+
+/* A stretch of a line. */
+struct span {
+	const char *start;
+	size_t length;
+};
+
+/* A line being read; seen has one bit for each field already given. */
+struct rule_scan {
+	const char *line;
+	struct rule *rule;
+	struct rule_fault *fault;
+	uint32_t seen;
+	bool has_incarnation;
+};
+
+bool rule_scan_fail(struct rule_scan *scan, struct span found,
+		    const char *expected);
+bool rule_fields_read(struct rule_scan *scan, struct span word);
+bool rule_fields_require(struct rule_scan *scan, struct span head);
+
+#endif
--- /dev/null
+++ b/core/src/rule_reader.c
@@ -0,0 +1,173 @@
+#include "rule_fields.h"
+
+#include <core/core_error.h>
+#include <string.h>
+
+#define TIMEOUT_DEFAULT_MS 10000
+
+static bool is_blank(char byte)
+{
+	return byte == ' ' || byte == '\t' || byte == '\r';
+}
+
+static struct span trim(struct span span)
+{
+	while (span.length > 0 && is_blank(span.start[0])) {
+		span.start++;
+		span.length--;
+	}
+	while (span.length > 0 && is_blank(span.start[span.length - 1]))
+		span.length--;
+	return span;
+}
+
+static bool next_word(struct span *rest, struct span *word)
+{
+	*rest = trim(*rest);
+	word->start = rest->start;
+	word->length = 0;
+	while (word->length < rest->length &&
+	       !is_blank(rest->start[word->length]))
+		word->length++;
+	rest->start += word->length;
+	rest->length -= word->length;
+	return word->length > 0;
+}
+
+/* Refuses bytes that no line may hold, whatever its form. */
+static bool check_bytes(struct rule_scan *scan, struct span line)
+{
+	const char *nul = memchr(line.start, '\0', line.length);
+	const char *end;
+
+	if (line.length > RULE_LINE_BYTES_MAX)
+		return rule_scan_fail(scan, (struct span){line.start, 0},
+				      "a line of at most 65536 bytes");
+	if (nul)
+		return rule_scan_fail(scan, (struct span){nul, 1},
+				      "text without NUL bytes");
+	if (g_utf8_validate(line.start, (gssize)line.length, &end))
+		return true;
+	return rule_scan_fail(scan, (struct span){end, 0}, "UTF-8 text");
+}
+
+/* Cuts the comment off a line and keeps it; every rule needs one. */
+static bool read_comment(struct rule_scan *scan, struct span *line)
+{
+	const char *hash = memchr(line->start, '#', line->length);
+	struct span comment = {line->start + line->length, 0};
+
+	if (hash) {
+		comment.start = hash + 1;
+		comment.length =
+			line->length - (size_t)(comment.start - line->start);
+		comment = trim(comment);
+		line->length = (size_t)(hash - line->start);
+	}
+	if (comment.length == 0)
+		return rule_scan_fail(scan, comment,
+				      "# and who asked for the rule");
+	scan->rule->comment = g_strndup(comment.start, comment.length);
+	return true;
+}
+
+static bool is_name_byte(char byte)
+{
+	return g_ascii_isalnum(byte) || byte == '-' || byte == '_' ||
+	       byte == '.';
+}
+
+static bool read_name(struct rule_scan *scan, struct span word)
+{
+	struct service *service = &scan->rule->service;
+
+	if (word.length == 0 || word.length >= SERVICE_NAME_BYTES)
+		return rule_scan_fail(scan, word,
+				      "a service name of 1 to 63 bytes");
+	for (size_t i = 0; i < word.length; i++) {
+		if (!is_name_byte(word.start[i]))
+			return rule_scan_fail(scan, word,
+					      "a service name of letters, "
+					      "digits, -, _ and .");
+	}
+	memcpy(service->name, word.start, word.length);
+	service->name[word.length] = '\0';
+	service->service_id = service_id_from_name(service->name);
+	return true;
+}
+
+/* A line of a later form may hold fields that only look like faults here. */
+static bool check_form(struct rule_scan *scan, struct span rest)
+{
+	struct rule_scan form_scan = *scan;
+	struct span word;
+
+	while (next_word(&rest, &word)) {
+		if (word.length > 2 && strncmp(word.start, "v=", 2) == 0)
+			return rule_fields_read(&form_scan, word);
+	}
+	return true;
+}
+
+static bool read_words(struct rule_scan *scan, struct span rest)
+{
+	struct span head = trim(rest);
+	struct span word;
+
+	next_word(&rest, &word);
+	if (!read_name(scan, word) || !check_form(scan, rest))
+		return false;
+	while (next_word(&rest, &word)) {
+		if (!rule_fields_read(scan, word))
+			return false;
+	}
+	return rule_fields_require(scan, head);
+}
+
+static void adopt_targets(struct rule *rule)
+{
+	for (uint32_t i = 0; i < rule->target_count; i++) {
+		rule->targets[i].service_id = rule->service.service_id;
+		rule->targets[i].target_id = target_id_of(&rule->targets[i]);
+	}
+}
+
+/*
+ * Reads one rule line: a service name, fields, and behind '#' the comment
+ * that says who asked for it. The bytes need no NUL behind them. The caller
+ * frees the result with rule_free; NULL means that the fault is set.
+ */
+struct rule *rule_read(const char *line, size_t length_bytes,
+		       struct rule_fault *fault)
+{
+	struct rule *rule = g_new0(struct rule, 1);
+	struct span span = {line, length_bytes};
+	struct rule_scan scan = {.line = line, .rule = rule, .fault = fault};
+
+	rule->form = RULE_FORM_FIRST;
+	rule->service.timeout_ms = TIMEOUT_DEFAULT_MS;
+	rule->service.work_class = CLASS_NORMAL;
+	if (check_bytes(&scan, span) && read_comment(&scan, &span) &&
+	    read_words(&scan, span)) {
+		adopt_targets(rule);
+		return rule;
+	}
+	rule_free(rule);
+	return NULL;
+}
+
+/*
+ * Reads one rule line that ends with a NUL. The caller frees the result with
+ * rule_free. Fails with CORE_ERROR_RULE, naming the column.
+ */
+struct rule *rule_parse(const char *line, GError **error)
+{
+	struct rule_fault fault;
+	char text[RULE_FAULT_TEXT_BYTES];
+	struct rule *rule = rule_read(line, strlen(line), &fault);
+
+	if (!rule)
+		g_set_error(error, CORE_ERROR, CORE_ERROR_RULE, "column %u: %s",
+			    fault.column, rule_fault_format(&fault, text));
+	return rule;
+}
--- /dev/null
+++ b/core/src/rules_document.c
@@ -0,0 +1,250 @@
+#include <core/rules_document.h>
+
+#include <string.h>
+
+/* What JSON adds around the document, the change ids included. */
+#define DOCUMENT_OVERHEAD_BYTES 4096
+
+struct rules_document {
+	uint64_t revision;
+	uint64_t digest;
+	uint64_t size_bytes;
+	GPtrArray *lines;
+	GHashTable *by_name;
+	GArray *changes;
+	char *extra;
+};
+
+static void free_line(gpointer line)
+{
+	rules_line_free(line);
+}
+
+/* Makes an empty document of revision 0; free it with rules_document_free. */
+struct rules_document *rules_document_new(void)
+{
+	struct rules_document *document = g_new0(struct rules_document, 1);
+
+	document->lines = g_ptr_array_new_with_free_func(free_line);
+	document->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	document->changes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	return document;
+}
+
+/* Frees a document and its lines; NULL is allowed. */
+void rules_document_free(struct rules_document *document)
+{
+	if (!document)
+		return;
+	g_hash_table_destroy(document->by_name);
+	g_ptr_array_free(document->lines, TRUE);
+	g_array_free(document->changes, TRUE);
+	g_free(document->extra);
+	g_free(document);
+}
+
+/* Makes a deep copy; the caller frees it. */
+struct rules_document *
+rules_document_copy(const struct rules_document *document)
+{
+	struct rules_document *copy = rules_document_new();
+
+	for (guint i = 0; i < document->lines->len; i++)
+		rules_document_put(copy, rules_line_copy(g_ptr_array_index(
+						 document->lines, i)));
+	copy->revision = document->revision;
+	g_array_append_vals(copy->changes, document->changes->data,
+			    document->changes->len);
+	copy->extra = g_strdup(document->extra);
+	return copy;
+}
+
+/* Returns the highest revision of any line seen, 0 for an empty document. */
+uint64_t rules_document_revision(const struct rules_document *document)
+{
+	return document->revision;
+}
+
+/* Returns a hash of all versions; equal documents have equal digests. */
+uint64_t rules_document_digest(const struct rules_document *document)
+{
+	return document->digest;
+}
+
+/* Returns the number of lines, tombstones included. */
+uint32_t rules_document_count(const struct rules_document *document)
+{
+	return document->lines->len;
+}
+
+/* Returns the line at an index below rules_document_count. */
+const struct rules_line *
+rules_document_at(const struct rules_document *document, uint32_t index)
+{
+	return g_ptr_array_index(document->lines, index);
+}
+
+/* Finds a line, or its tombstone, by the service's name; NULL if none. */
+const struct rules_line *
+rules_document_find(const struct rules_document *document, const char *name)
+{
+	return g_hash_table_lookup(document->by_name, name);
+}
+
+static void account(struct rules_document *document,
+		    const struct rules_line *line, bool is_added)
+{
+	document->digest ^= rules_line_hash(line);
+	if (is_added)
+		document->size_bytes += rules_line_size_bytes(line);
+	else
+		document->size_bytes -= rules_line_size_bytes(line);
+}
+
+static void remove_line(struct rules_document *document,
+			struct rules_line *line)
+{
+	account(document, line, false);
+	g_hash_table_remove(document->by_name, line->name);
+	g_ptr_array_remove_fast(document->lines, line);
+}
+
+static bool is_outdated(const struct rules_document *document,
+			const struct rules_line *line)
+{
+	return line->is_deleted &&
+	       line->generation + RULES_TOMBSTONE_KEEP_MS < document->revision;
+}
+
+/* The rule depends on the revision alone, so all nodes purge alike. */
+static void purge(struct rules_document *document)
+{
+	for (guint i = document->lines->len; i-- > 0;) {
+		struct rules_line *line = g_ptr_array_index(document->lines, i);
+
+		if (is_outdated(document, line))
+			remove_line(document, line);
+	}
+}
+
+/*
+ * Takes ownership of a line and keeps it if it is newer than the one held.
+ * Returns whether it was kept.
+ */
+bool rules_document_put(struct rules_document *document,
+			struct rules_line *line)
+{
+	struct rules_line *held =
+		g_hash_table_lookup(document->by_name, line->name);
+
+	if (is_outdated(document, line) ||
+	    (held && !rules_line_is_newer(line, held))) {
+		rules_line_free(line);
+		return false;
+	}
+	if (held)
+		remove_line(document, held);
+	g_ptr_array_add(document->lines, line);
+	g_hash_table_insert(document->by_name, line->name, line);
+	account(document, line, true);
+	if (line->generation > document->revision) {
+		document->revision = line->generation;
+		purge(document);
+	}
+	return true;
+}
+
+/* Takes over what is newer in another document; returns how many lines. */
+uint32_t rules_document_join(struct rules_document *document,
+			     const struct rules_document *other)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < other->lines->len; i++) {
+		struct rules_line *line =
+			rules_line_copy(g_ptr_array_index(other->lines, i));
+
+		count += rules_document_put(document, line) ? 1 : 0;
+	}
+	for (guint i = 0; i < other->changes->len; i++)
+		rules_document_add_change(
+			document, g_array_index(other->changes, uint64_t, i));
+	if (!document->extra)
+		document->extra = g_strdup(other->extra);
+	return count;
+}
+
+/* Tells whether every line of another document is held as new or newer. */
+bool rules_document_covers(const struct rules_document *document,
+			   const struct rules_document *other)
+{
+	for (guint i = 0; i < other->lines->len; i++) {
+		const struct rules_line *line =
+			g_ptr_array_index(other->lines, i);
+		const struct rules_line *held =
+			rules_document_find(document, line->name);
+
+		if (is_outdated(document, line))
+			continue;
+		if (!held || rules_line_is_newer(line, held))
+			return false;
+	}
+	return true;
+}
+
+/* Estimates, from above, the bytes the document takes in the store. */
+uint64_t rules_document_size_bytes(const struct rules_document *document)
+{
+	uint64_t extra_bytes = document->extra ? strlen(document->extra) : 0;
+
+	return document->size_bytes + extra_bytes + DOCUMENT_OVERHEAD_BYTES;
+}
+
+/* Remembers the id of a write; the oldest makes room. */
+void rules_document_add_change(struct rules_document *document,
+			       uint64_t change_id)
+{
+	if (rules_document_has_change(document, change_id))
+		return;
+	if (document->changes->len == RULES_DOCUMENT_CHANGE_MAX)
+		g_array_remove_index(document->changes, 0);
+	g_array_append_val(document->changes, change_id);
+}
+
+/* Tells whether a write is known to have taken effect. */
+bool rules_document_has_change(const struct rules_document *document,
+			       uint64_t change_id)
+{
+	for (guint i = 0; i < document->changes->len; i++) {
+		if (g_array_index(document->changes, uint64_t, i) == change_id)
+			return true;
+	}
+	return false;
+}
+
+/* Returns the number of change ids remembered. */
+uint32_t rules_document_change_count(const struct rules_document *document)
+{
+	return document->changes->len;
+}
+
+/* Returns a change id, oldest first. */
+uint64_t rules_document_change_at(const struct rules_document *document,
+				  uint32_t index)
+{
+	return g_array_index(document->changes, uint64_t, index);
+}
+
+/* Returns fields of a later version as JSON text, or NULL. */
+const char *rules_document_extra(const struct rules_document *document)
+{
+	return document->extra;
+}
+
+/* Keeps fields of a later version as JSON text. */
+void rules_document_set_extra(struct rules_document *document,
+			      const char *extra)
+{
+	g_free(document->extra);
+	document->extra = g_strdup(extra);
+}
--- /dev/null
+++ b/core/src/rules_line.c
@@ -0,0 +1,132 @@
+#include <core/rules_line.h>
+
+#include <core/rule.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* What JSON adds around one line: keys, quotes, numbers. */
+#define LINE_OVERHEAD_BYTES 160
+#define FORMER_BYTES 20
+
+/* Makes a line of form 1; NULL text makes a tombstone. */
+struct rules_line *rules_line_new(const char *name, const char *text)
+{
+	struct rules_line *line = g_new0(struct rules_line, 1);
+
+	g_strlcpy(line->name, name, SERVICE_NAME_BYTES);
+	line->form = RULE_FORM_FIRST;
+	line->is_deleted = text == NULL;
+	line->text = g_strdup(text ? text : "");
+	return line;
+}
+
+/* Makes a deep copy; the caller frees it with rules_line_free. */
+struct rules_line *rules_line_copy(const struct rules_line *line)
+{
+	struct rules_line *copy = g_memdup2(line, sizeof(*line));
+
+	copy->text = g_strdup(line->text);
+	copy->earlier_text = g_strdup(line->earlier_text);
+	copy->extra = g_strdup(line->extra);
+	return copy;
+}
+
+/* Frees a line; NULL is allowed. */
+void rules_line_free(struct rules_line *line)
+{
+	if (!line)
+		return;
+	g_free(line->text);
+	g_free(line->earlier_text);
+	g_free(line->extra);
+	g_free(line);
+}
+
+static uint64_t text_hash(const char *text)
+{
+	return XXH3_64bits(text, strlen(text));
+}
+
+/* The oldest hash makes room for the newest. */
+static void add_former(struct rules_line *line, const char *text)
+{
+	if (line->former_count == RULES_LINE_FORMER_MAX) {
+		line->former_count--;
+		memmove(line->former, line->former + 1,
+			line->former_count * sizeof(line->former[0]));
+	}
+	line->former[line->former_count++] = text_hash(text);
+}
+
+/*
+ * Makes the successor of a line, or a new one where former is NULL; NULL text
+ * deletes. Its generation and change id are for the caller to set.
+ */
+struct rules_line *rules_line_next(const struct rules_line *former,
+				   const char *name, const char *text,
+				   uint32_t form)
+{
+	struct rules_line *line = rules_line_new(name, text);
+
+	line->form = form;
+	if (!former)
+		return line;
+	line->former_count = former->former_count;
+	memcpy(line->former, former->former, sizeof(line->former));
+	line->extra = g_strdup(former->extra);
+	if (former->is_deleted)
+		return line;
+	add_former(line, former->text);
+	if (text && form > RULE_FORM_FIRST)
+		line->earlier_text = g_strdup(former->form == RULE_FORM_FIRST
+						      ? former->text
+						      : former->earlier_text);
+	return line;
+}
+
+/* Orders two versions of a line; the change id decides between equals. */
+bool rules_line_is_newer(const struct rules_line *line,
+			 const struct rules_line *other)
+{
+	if (line->generation != other->generation)
+		return line->generation > other->generation;
+	return line->change_id > other->change_id;
+}
+
+/* Tells whether the line once had this text and has another now. */
+bool rules_line_has_former(const struct rules_line *line, const char *text)
+{
+	uint64_t hash = text_hash(text);
+
+	for (uint32_t i = 0; i < line->former_count; i++) {
+		if (line->former[i] == hash)
+			return true;
+	}
+	return false;
+}
+
+/* Hashes the line's identity and version, for digests. */
+uint64_t rules_line_hash(const struct rules_line *line)
+{
+	uint64_t parts[3] = {text_hash(line->name), line->generation,
+			     line->change_id};
+
+	return XXH3_64bits(parts, sizeof(parts));
+}
+
+static size_t length_of(const char *text)
+{
+	return text ? strlen(text) : 0;
+}
+
+/* Estimates, from above, the bytes the line takes in the store. */
+uint32_t rules_line_size_bytes(const struct rules_line *line)
+{
+	size_t size_bytes = LINE_OVERHEAD_BYTES + strlen(line->name) +
+			    length_of(line->text) +
+			    length_of(line->earlier_text) +
+			    length_of(line->extra) +
+			    (size_t)line->former_count * FORMER_BYTES;
+
+	return (uint32_t)size_bytes;
+}
--- /dev/null
+++ b/core/src/rules_merge.c
@@ -0,0 +1,383 @@
+#include <core/rules_merge.h>
+
+#include "rules_candidates.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Fewer deletions than this at once are never held for their number. */
+#define MASS_DELETION_MIN 3
+
+struct rules_merge {
+	struct rules_merge_options options;
+	struct rules_document *document;
+	struct rules_base *base;
+	struct rules_candidates *candidates;
+	GArray *outcomes;
+	uint64_t revision;
+	bool has_change;
+};
+
+static struct rules_outcome *add_outcome(struct rules_merge *merge,
+					 const char *name, uint32_t number,
+					 enum rules_verdict verdict)
+{
+	struct rules_outcome outcome = {.number = number, .verdict = verdict};
+
+	g_strlcpy(outcome.name, name, SERVICE_NAME_BYTES);
+	g_array_append_val(merge->outcomes, outcome);
+	return &g_array_index(merge->outcomes, struct rules_outcome,
+			      merge->outcomes->len - 1);
+}
+
+static void note_base(struct rules_merge *merge, const char *name,
+		      const char *text, uint64_t generation, bool is_rejected)
+{
+	struct rules_base_line line = {.text = (char *)text,
+				       .generation = generation,
+				       .is_rejected = is_rejected};
+
+	g_strlcpy(line.name, name, SERVICE_NAME_BYTES);
+	rules_base_put(merge->base, &line);
+}
+
+static void add_fault(struct rules_merge *merge,
+		      const struct rules_text_line *line)
+{
+	char text[RULE_FAULT_TEXT_BYTES];
+	struct rules_outcome *outcome =
+		add_outcome(merge, line->name, line->number,
+			    line->fault.is_later_form ? RULES_HELD : RULES_BAD);
+
+	outcome->column = line->fault.column;
+	g_strlcpy(outcome->reason, rule_fault_format(&line->fault, text),
+		  RULES_REASON_BYTES);
+}
+
+/* A rejected line is remembered, so that saving it again changes nothing. */
+static void reject(struct rules_merge *merge,
+		   const struct rules_text_line *line,
+		   const struct rules_line *stored, enum rules_verdict verdict,
+		   const char *advice)
+{
+	struct rules_outcome *outcome =
+		add_outcome(merge, line->name, line->number, verdict);
+
+	outcome->column = 1;
+	outcome->generation = stored->generation;
+	snprintf(outcome->reason, RULES_REASON_BYTES,
+		 "revision %" PRIu64 " %s; %s", stored->generation,
+		 stored->is_deleted ? "deleted this line"
+				    : "gave this line another text",
+		 advice);
+	note_base(merge, line->name, line->text, stored->generation, true);
+}
+
+static bool same_text(const char *a, const char *b)
+{
+	return a && b && strcmp(a, b) == 0;
+}
+
+/* The operator left the line alone; what others did to it is only shown. */
+static void show_unedited(struct rules_merge *merge,
+			  const struct rules_text_line *line,
+			  const struct rules_line *stored,
+			  const struct rules_base_line *base)
+{
+	struct rules_outcome *outcome;
+
+	if (base->is_rejected && stored) {
+		reject(merge, line, stored, RULES_CONFLICT,
+		       "change the line to ask for it again");
+		return;
+	}
+	outcome = add_outcome(merge, line->name, line->number,
+			      RULES_CHANGED_ELSEWHERE);
+	outcome->generation = stored ? stored->generation : 0;
+	snprintf(outcome->reason, RULES_REASON_BYTES, "in force is: %.240s",
+		 stored && !stored->is_deleted ? stored->text
+					       : "nothing, it was deleted");
+}
+
+static void judge_edit(struct rules_merge *merge,
+		       const struct rules_text_line *line,
+		       const struct rules_line *stored,
+		       const struct rules_base_line *base)
+{
+	if (stored && rules_line_has_former(stored, line->text)) {
+		reject(merge, line, stored, RULES_STALE,
+		       "to return to the former text, say in its comment who "
+		       "asks");
+		return;
+	}
+	if (stored && (base ? base->generation != stored->generation
+			    : !stored->is_deleted)) {
+		reject(merge, line, stored, RULES_CONFLICT,
+		       "change the line to ask for it again");
+		return;
+	}
+	rules_candidates_add(merge->candidates, line->name, line);
+}
+
+static void judge_line(struct rules_merge *merge,
+		       const struct rules_text_line *line)
+{
+	const struct rules_line *stored =
+		rules_document_find(merge->options.document, line->name);
+	const struct rules_base_line *base =
+		rules_base_find(merge->options.base, line->name);
+
+	if (!line->rule) {
+		add_fault(merge, line);
+	} else if (stored && !stored->is_deleted &&
+		   same_text(stored->text, line->text)) {
+		add_outcome(merge, line->name, line->number, RULES_IN_STORE)
+			->generation = stored->generation;
+		note_base(merge, line->name, line->text, stored->generation,
+			  false);
+	} else if (base && same_text(base->text, line->text)) {
+		show_unedited(merge, line, stored, base);
+	} else {
+		judge_edit(merge, line, stored, base);
+	}
+}
+
+/* Tells whether the operator took a line out that the file held before. */
+static bool is_taken_out(const struct rules_merge *merge,
+			 const struct rules_base_line *base)
+{
+	const struct rules_line *stored =
+		rules_document_find(merge->options.document, base->name);
+
+	return base->text && stored && !stored->is_deleted &&
+	       !rules_text_find(merge->options.text, base->name);
+}
+
+static uint32_t count_taken_out(const struct rules_merge *merge,
+				uint32_t *line_count)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < rules_base_count(merge->options.base); i++) {
+		const struct rules_base_line *base =
+			rules_base_at(merge->options.base, i);
+
+		*line_count += base->text ? 1 : 0;
+		count += is_taken_out(merge, base) ? 1 : 0;
+	}
+	return count;
+}
+
+/*
+ * An emptied or badly cut file looks like many deletions; they wait until
+ * the file itself confirms them against the revision that they delete from.
+ */
+static bool is_mass_deletion(const struct rules_merge *merge)
+{
+	const struct rules_text *text = merge->options.text;
+	uint32_t line_count = 0;
+	uint32_t count = count_taken_out(merge, &line_count);
+
+	if (count == 0 ||
+	    rules_text_confirmed_revision(text) ==
+		    rules_document_revision(merge->options.document))
+		return false;
+	return rules_text_count(text) == 0 ||
+	       (count >= MASS_DELETION_MIN && count * 2 > line_count);
+}
+
+static void hold_deletion(struct rules_merge *merge, const char *name,
+			  bool is_mass)
+{
+	struct rules_outcome *outcome = add_outcome(merge, name, 0, RULES_HELD);
+
+	if (is_mass)
+		snprintf(outcome->reason, RULES_REASON_BYTES,
+			 "most lines are gone; to delete them add the line: "
+			 "# confirm-deletions=%" PRIu64 " asked by NAME",
+			 rules_document_revision(merge->options.document));
+	else
+		snprintf(outcome->reason, RULES_REASON_BYTES,
+			 "not deleted while a line of the file has no readable "
+			 "service name");
+}
+
+/* Taking a rejected line out gives the edit up and deletes nothing. */
+static void judge_deletion(struct rules_merge *merge,
+			   const struct rules_base_line *base, bool is_mass)
+{
+	const struct rules_line *stored =
+		rules_document_find(merge->options.document, base->name);
+	struct rules_outcome *outcome;
+
+	if (base->is_rejected) {
+		note_base(merge, base->name, NULL, base->generation, false);
+	} else if (base->generation != stored->generation) {
+		outcome = add_outcome(merge, base->name, 0, RULES_CONFLICT);
+		outcome->generation = stored->generation;
+		snprintf(outcome->reason, RULES_REASON_BYTES,
+			 "not deleted: revision %" PRIu64 " changed it to: "
+			 "%.200s",
+			 stored->generation, stored->text);
+		note_base(merge, base->name, NULL, stored->generation, false);
+	} else if (is_mass || rules_text_has_nameless(merge->options.text)) {
+		hold_deletion(merge, base->name, is_mass);
+	} else {
+		rules_candidates_add(merge->candidates, base->name, NULL);
+	}
+}
+
+static void judge_deletions(struct rules_merge *merge)
+{
+	bool is_mass = is_mass_deletion(merge);
+
+	for (uint32_t i = 0; i < rules_base_count(merge->options.base); i++) {
+		const struct rules_base_line *base =
+			rules_base_at(merge->options.base, i);
+
+		if (is_taken_out(merge, base))
+			judge_deletion(merge, base, is_mass);
+	}
+}
+
+static void refuse_candidate(struct rules_merge *merge,
+			     const struct rules_candidate *candidate)
+{
+	struct rules_outcome *outcome = add_outcome(
+		merge, candidate->name,
+		candidate->line ? candidate->line->number : 0, RULES_HELD);
+
+	outcome->column = 1;
+	g_strlcpy(outcome->reason, candidate->refusal, RULES_REASON_BYTES);
+}
+
+static void apply_candidate(struct rules_merge *merge,
+			    const struct rules_candidate *candidate)
+{
+	const struct rules_text_line *line = candidate->line;
+	struct rules_line *next = rules_candidate_next(
+		candidate,
+		rules_document_find(merge->options.document, candidate->name));
+
+	next->generation = merge->revision;
+	next->change_id = merge->options.change_id;
+	add_outcome(merge, candidate->name, line ? line->number : 0,
+		    line ? RULES_ACCEPTED : RULES_DELETED)
+		->generation = merge->revision;
+	note_base(merge, candidate->name, line ? line->text : NULL,
+		  merge->revision, false);
+	rules_document_put(merge->document, next);
+	merge->has_change = true;
+}
+
+static void settle_candidates(struct rules_merge *merge)
+{
+	uint32_t count = rules_candidates_count(merge->candidates);
+
+	rules_candidates_refuse(merge->candidates, merge->options.document);
+	for (uint32_t i = 0; i < count; i++) {
+		const struct rules_candidate *candidate =
+			rules_candidates_at(merge->candidates, i);
+
+		if (candidate->refusal[0])
+			refuse_candidate(merge, candidate);
+		else
+			apply_candidate(merge, candidate);
+	}
+	if (merge->has_change)
+		rules_document_add_change(merge->document,
+					  merge->options.change_id);
+}
+
+static gint compare_outcomes(gconstpointer a, gconstpointer b)
+{
+	const struct rules_outcome *first = a;
+	const struct rules_outcome *second = b;
+
+	if (first->number != second->number)
+		return first->number < second->number ? -1 : 1;
+	return strcmp(first->name, second->name);
+}
+
+/*
+ * Merges; the options' parts must outlive the result, which the caller frees
+ * with rules_merge_free. Nothing takes effect before the caller has written
+ * the document by compare-and-swap against the one it passed in.
+ */
+struct rules_merge *rules_merge_new(const struct rules_merge_options *options)
+{
+	struct rules_merge *merge = g_new0(struct rules_merge, 1);
+	uint64_t former = rules_document_revision(options->document);
+
+	merge->options = *options;
+	merge->document = rules_document_copy(options->document);
+	merge->base = rules_base_copy(options->base);
+	merge->candidates = rules_candidates_new();
+	merge->outcomes =
+		g_array_new(FALSE, FALSE, sizeof(struct rules_outcome));
+	merge->revision = MAX(former + 1, options->now_ms);
+	for (uint32_t i = 0; i < rules_text_count(options->text); i++)
+		judge_line(merge, rules_text_at(options->text, i));
+	judge_deletions(merge);
+	settle_candidates(merge);
+	g_array_sort(merge->outcomes, compare_outcomes);
+	return merge;
+}
+
+/* Frees the merge and all it made; NULL is allowed. */
+void rules_merge_free(struct rules_merge *merge)
+{
+	if (!merge)
+		return;
+	rules_document_free(merge->document);
+	rules_base_free(merge->base);
+	rules_candidates_free(merge->candidates);
+	g_array_free(merge->outcomes, TRUE);
+	g_free(merge);
+}
+
+/* Tells whether there is anything to write. */
+bool rules_merge_has_change(const struct rules_merge *merge)
+{
+	return merge->has_change;
+}
+
+/* Returns the document to write; it belongs to the merge. */
+const struct rules_document *
+rules_merge_document(const struct rules_merge *merge)
+{
+	return merge->document;
+}
+
+/* Returns the base to keep once the write has taken effect. */
+const struct rules_base *rules_merge_base(const struct rules_merge *merge)
+{
+	return merge->base;
+}
+
+/* Returns the number of lines judged. */
+uint32_t rules_merge_count(const struct rules_merge *merge)
+{
+	return merge->outcomes->len;
+}
+
+/* Returns a verdict, in the order of the file, lines taken out first. */
+const struct rules_outcome *rules_merge_at(const struct rules_merge *merge,
+					   uint32_t index)
+{
+	return &g_array_index(merge->outcomes, struct rules_outcome, index);
+}
+
+/* Returns how many lines the operator has to look at again. */
+uint32_t rules_merge_rejected_count(const struct rules_merge *merge)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < merge->outcomes->len; i++)
+		count += rules_verdict_is_rejection(
+				 rules_merge_at(merge, i)->verdict)
+				 ? 1
+				 : 0;
+	return count;
+}
--- /dev/null
+++ b/core/src/rules_outcome.c
@@ -0,0 +1,26 @@
+#include <core/rules_outcome.h>
+
+static const char *const verdict_names[RULES_VERDICT_COUNT] = {
+	[RULES_IN_STORE] = "accepted",
+	[RULES_ACCEPTED] = "accepted",
+	[RULES_DELETED] = "deleted",
+	[RULES_CHANGED_ELSEWHERE] = "changed_elsewhere",
+	[RULES_BAD] = "rejected",
+	[RULES_CONFLICT] = "conflict",
+	[RULES_STALE] = "stale",
+	[RULES_HELD] = "held",
+};
+
+/* Names a verdict for operators and for JSON. */
+const char *rules_verdict_name(enum rules_verdict verdict)
+{
+	return verdict < RULES_VERDICT_COUNT ? verdict_names[verdict]
+					     : "invalid";
+}
+
+/* Tells whether the operator has to do something about the line. */
+bool rules_verdict_is_rejection(enum rules_verdict verdict)
+{
+	return verdict == RULES_BAD || verdict == RULES_CONFLICT ||
+	       verdict == RULES_STALE || verdict == RULES_HELD;
+}
--- /dev/null
+++ b/core/test/rule_test.c
@@ -0,0 +1,160 @@
+#include <core/rule.h>
+#include <fakes/test_main.h>
+#include <string.h>
+
+#define LINE(text) text, sizeof(text) - 1
+#define REST " address=10.0.0.1:80 pool=10.1.0.1:8080 # Lin"
+
+/* Lines and the fault in them: its column, and what was expected and found. */
+static const struct {
+	const char *name;
+	const char *line;
+	size_t length_bytes;
+	uint32_t column;
+	const char *expected;
+} fault_rows[] = {
+	{"whole", LINE("desk" REST), 0, NULL},
+	{"old form written out", LINE("desk v=1" REST), 0, NULL},
+	{"tabs", LINE("desk\taddress=10.0.0.1:80\tpool=10.1.0.1:1 # Lin"), 0,
+	 NULL},
+	{"carriage return", LINE("desk" REST "\r"), 0, NULL},
+	{"chinese comment",
+	 LINE("desk address=10.0.0.1:80 pool=10.1.0.1:1 # \xe6\x9e\x97\xe7\x8e"
+	      "\x89\xe5\xa9\xb7"),
+	 0, NULL},
+	{"all fields",
+	 LINE("desk v=2 protocol=http class=urgent repeat=never limit=9 "
+	      "timeout_ms=500 address=10.0.0.1:80,[2001:db8::1]:80 "
+	      "pool=10.1.0.1:8080~2*3@north-a # Lin"),
+	 0, NULL},
+	{"no comment", LINE("desk address=10.0.0.1:80 pool=10.1.0.1:8080"), 44,
+	 "expected # and who asked for the rule, found nothing"},
+	{"empty comment", LINE("desk address=10.0.0.1:80 #  "), 29,
+	 "expected # and who asked for the rule, found nothing"},
+	{"no address", LINE("desk pool=10.1.0.1:8080 # Lin"), 24,
+	 "expected address=, found nothing"},
+	{"no pool", LINE("desk address=10.0.0.1:80 # Lin"), 25,
+	 "expected pool=, found nothing"},
+	{"unknown field", LINE("desk colour=red" REST), 6,
+	 "expected address=, pool=, protocol=, class=, repeat=, limit=, "
+	 "timeout_ms= or v=, found \"colour=red\""},
+	{"field twice", LINE("desk class=bulk class=bulk" REST), 17,
+	 "expected each field only once, found \"class=bulk\""},
+	{"bad address", LINE("desk address=10.0.0:80 pool=10.1.0.1:1 # Lin"),
+	 14, "expected address:port, found \"10.0.0:80\""},
+	{"address twice",
+	 LINE("desk address=10.0.0.1:80,10.0.0.1:80 pool=10.1.0.1:1 # Lin"), 26,
+	 "expected each address only once, found \"10.0.0.1:80\""},
+	{"target twice",
+	 LINE("desk address=10.0.0.1:80 pool=10.1.0.1:1,10.1.0.1:1 # Lin"), 42,
+	 "expected each target only once, found \"10.1.0.1:1\""},
+	{"bad slots", LINE("desk address=10.0.0.1:80 pool=10.1.0.1:1*0 # Lin"),
+	 42, "expected slots from 1 to 65535, found \"0\""},
+	{"empty zone", LINE("desk address=10.0.0.1:80 pool=10.1.0.1:1@ # Lin"),
+	 42, "expected a zone name of 1 to 31 bytes, found nothing"},
+	{"bad protocol", LINE("desk protocol=quic" REST), 15,
+	 "expected tcp, udp or http, found \"quic\""},
+	{"bad class", LINE("desk class=late" REST), 12,
+	 "expected urgent, normal or bulk, found \"late\""},
+	{"bad repeat", LINE("desk repeat=once" REST), 13,
+	 "expected method, always or never, found \"once\""},
+	{"bad limit", LINE("desk limit=0" REST), 12,
+	 "expected a limit from 1 to 1000000, found \"0\""},
+	{"bad timeout", LINE("desk timeout_ms=1s" REST), 17,
+	 "expected milliseconds from 1 to 3600000, found \"1s\""},
+	{"incarnation in the old form",
+	 LINE("desk address=10.0.0.1:80 pool=10.1.0.1:1~2 # Lin"), 43,
+	 "expected v=2 with incarnations of targets, found nothing"},
+	{"later form", LINE("desk v=3 colour=red" REST), 8,
+	 "expected form 1 or 2, found \"3\""},
+	{"nul byte", LINE("desk\0" REST), 5,
+	 "expected text without NUL bytes, found \"?\""},
+	{"not utf-8", LINE("desk" REST "\xff"), 50,
+	 "expected UTF-8 text, found nothing"},
+	{"name in chinese", LINE("\xe6\x9e\x97" REST), 1,
+	 "expected a service name of letters, digits, -, _ and ., found "
+	 "\"\xe6\x9e\x97\""},
+	{"column counts characters",
+	 LINE("desk class=\xe6\x9e\x97\xe6\x9e\x97 limit=0" REST), 12,
+	 "expected urgent, normal or bulk, found \"\xe6\x9e\x97\xe6\x9e\x97\""},
+	{"empty", LINE(""), 1,
+	 "expected # and who asked for the rule, found nothing"},
+};
+
+START_TEST(test_fault)
+{
+	struct rule_fault fault = {.column = 0};
+	char text[RULE_FAULT_TEXT_BYTES];
+	struct rule *rule = rule_read(fault_rows[_i].line,
+				      fault_rows[_i].length_bytes, &fault);
+
+	test_row("rule", fault_rows[_i].name);
+	if (!fault_rows[_i].expected) {
+		ck_assert_msg(rule, "%s: %s", fault_rows[_i].name,
+			      rule_fault_format(&fault, text));
+	} else {
+		ck_assert_msg(!rule, "%s", fault_rows[_i].name);
+		ck_assert_str_eq(rule_fault_format(&fault, text),
+				 fault_rows[_i].expected);
+		ck_assert_uint_eq(fault.column, fault_rows[_i].column);
+	}
+	rule_free(rule);
+}
+END_TEST
+
+START_TEST(test_overlong)
+{
+	char *line = g_strnfill(RULE_LINE_BYTES_MAX + 1, 'x');
+	struct rule_fault fault;
+
+	test_row("rule", "overlong");
+	ck_assert_ptr_null(rule_read(line, RULE_LINE_BYTES_MAX + 1, &fault));
+	ck_assert_str_eq(fault.expected, "a line of at most 65536 bytes");
+	g_free(line);
+}
+END_TEST
+
+/* The same address with another incarnation, service or zone. */
+static const struct {
+	const char *name;
+	const char *lines[2];
+	bool is_same;
+} target_rows[] = {
+	{"same target", {"a v=2" REST, "a" REST}, true},
+	{"another incarnation is another target",
+	 {"a v=2 address=10.0.0.1:80 pool=10.1.0.1:8080~1 # Lin",
+	  "a v=2 address=10.0.0.1:80 pool=10.1.0.1:8080~2 # Lin"},
+	 false},
+	{"another service is another target", {"a" REST, "b" REST}, false},
+};
+
+START_TEST(test_target)
+{
+	struct rule *rules[2];
+
+	for (int i = 0; i < 2; i++) {
+		rules[i] = rule_parse(target_rows[_i].lines[i], NULL);
+		ck_assert_ptr_nonnull(rules[i]);
+	}
+	ck_assert_msg((rules[0]->targets[0].target_id ==
+		       rules[1]->targets[0].target_id) ==
+			      target_rows[_i].is_same,
+		      "%s", target_rows[_i].name);
+	rule_free(rules[0]);
+	rule_free(rules[1]);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("rule");
+	TCase *tcase = tcase_create("rule");
+
+	tcase_add_loop_test(tcase, test_fault, 0,
+			    sizeof(fault_rows) / sizeof(fault_rows[0]));
+	tcase_add_test(tcase, test_overlong);
+	tcase_add_loop_test(tcase, test_target, 0,
+			    sizeof(target_rows) / sizeof(target_rows[0]));
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
--- a/ctl/src/check_command.c
+++ b/ctl/src/check_command.c
@@ -1,51 +1,46 @@
 #include <ctl/command.h>
 
-#include <core/rule.h>
+#include <core/rules_text.h>
 #include <stdio.h>
 
-/* Checks one line and prints what is wrong with it. */
-static bool check_line(const char *path, unsigned int number, char *line)
+/* Prints each bad line as file:line:column with expected and found. */
+static void print_faults(const char *path, const struct rules_text *text)
 {
-	GError *error = NULL;
-	struct rule *rule;
+	char fault[RULE_FAULT_TEXT_BYTES];
+
+	for (uint32_t i = 0; i < rules_text_count(text); i++) {
+		const struct rules_text_line *line = rules_text_at(text, i);
 
-	g_strstrip(line);
-	if (*line == '\0' || *line == '#')
-		return true;
-	rule = rule_parse(line, &error);
-	if (rule) {
-		rule_free(rule);
-		return true;
+		if (!line->rule)
+			printf("%s:%u:%u: %s\n", path, line->number,
+			       line->fault.column,
+			       rule_fault_format(&line->fault, fault));
 	}
-	printf("%s:%u:1: %s\n", path, number, error->message);
-	g_error_free(error);
-	return false;
 }
 
 static int run(int argc, char **argv)
 {
 	GError *error = NULL;
-	char *text = NULL;
-	char **lines;
-	int code = EXIT_CODE_DONE;
+	char *bytes = NULL;
+	gsize length_bytes = 0;
+	struct rules_text *text;
+	uint32_t fault_count;
 
 	if (argc != 2) {
 		fputs("Usage: shallotctl check FILE\n", stderr);
 		return EXIT_CODE_USAGE;
 	}
-	if (!g_file_get_contents(argv[1], &text, NULL, &error)) {
+	if (!g_file_get_contents(argv[1], &bytes, &length_bytes, &error)) {
 		fprintf(stderr, "shallotctl: %s\n", error->message);
 		g_error_free(error);
 		return EXIT_CODE_BAD_DATA;
 	}
-	lines = g_strsplit(text, "\n", -1);
-	for (unsigned int i = 0; lines[i]; i++) {
-		if (!check_line(argv[1], i + 1, lines[i]))
-			code = EXIT_CODE_BAD_DATA;
-	}
-	g_strfreev(lines);
-	g_free(text);
-	return code;
+	text = rules_text_new(bytes, length_bytes);
+	print_faults(argv[1], text);
+	fault_count = rules_text_fault_count(text);
+	rules_text_free(text);
+	g_free(bytes);
+	return fault_count == 0 ? EXIT_CODE_DONE : EXIT_CODE_BAD_DATA;
 }
 
 const struct command check_command = {"check", "validate a rules file", run};
--- a/daemon/src/rules_file.c
+++ b/daemon/src/rules_file.c
@@ -1,53 +1,65 @@
 #include <daemon/rules_file.h>
 
+#include <core/rules_text.h>
 #include <daemon/daemon_error.h>
 
-static bool add_line(struct rule_set *set, const char *path, uint32_t number,
-		     char *line, GError **error)
+#define FILE_REVISION 1
+
+static bool add_line(struct rule_set *set, const char *path,
+		     const struct rules_text_line *line, GError **error)
 {
-	GError *cause = NULL;
+	char fault[RULE_FAULT_TEXT_BYTES];
 	struct rule *rule;
 
-	g_strstrip(line);
-	if (*line == '\0' || *line == '#')
-		return true;
-	rule = rule_parse(line, &cause);
-	if (rule) {
-		rule_set_add(set, rule);
-		return true;
+	if (!line->rule) {
+		g_set_error(error, DAEMON_ERROR, DAEMON_ERROR_RULES,
+			    "%s:%u:%u: %s", path, line->number,
+			    line->fault.column,
+			    rule_fault_format(&line->fault, fault));
+		return false;
+	}
+	rule = rule_copy(line->rule);
+	rule->generation = FILE_REVISION;
+	rule_set_add(set, rule);
+	return true;
+}
+
+static struct rule_set *make_set(const char *path,
+				 const struct rules_text *text, GError **error)
+{
+	struct rule_set *set = rule_set_new(FILE_REVISION);
+
+	for (uint32_t i = 0; i < rules_text_count(text); i++) {
+		if (!add_line(set, path, rules_text_at(text, i), error)) {
+			rule_set_free(set);
+			return NULL;
+		}
 	}
-	g_set_error(error, DAEMON_ERROR, DAEMON_ERROR_RULES, "%s:%u: %s", path,
-		    number, cause->message);
-	g_error_free(cause);
-	return false;
+	return set;
 }
 
 /*
  * Reads a whole rules file for a node that runs without the platform's
- * service. The caller owns the set. Fails with DAEMON_ERROR_RULES.
+ * service. The caller owns the set. Fails with DAEMON_ERROR_RULES at the
+ * first bad line.
  */
 struct rule_set *rules_file_read(const char *path, GError **error)
 {
 	GError *cause = NULL;
-	char *text = NULL;
-	char **lines;
+	char *bytes = NULL;
+	gsize length_bytes = 0;
+	struct rules_text *text;
 	struct rule_set *set;
-	bool is_valid = true;
 
-	if (!g_file_get_contents(path, &text, NULL, &cause)) {
+	if (!g_file_get_contents(path, &bytes, &length_bytes, &cause)) {
 		g_set_error_literal(error, DAEMON_ERROR, DAEMON_ERROR_RULES,
 				    cause->message);
 		g_error_free(cause);
 		return NULL;
 	}
-	set = rule_set_new(1);
-	lines = g_strsplit(text, "\n", -1);
-	for (uint32_t i = 0; is_valid && lines[i]; i++)
-		is_valid = add_line(set, path, i + 1, lines[i], error);
-	g_strfreev(lines);
-	g_free(text);
-	if (is_valid)
-		return set;
-	rule_set_free(set);
-	return NULL;
+	text = rules_text_new(bytes, length_bytes);
+	set = make_set(path, text, error);
+	rules_text_free(text);
+	g_free(bytes);
+	return set;
 }
