--- /dev/null
+++ b/wire/include/wire/replay_guard.h
@@ -0,0 +1,34 @@
+#ifndef WIRE_REPLAY_GUARD_H
+#define WIRE_REPLAY_GUARD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <wire/rpc_message.h>
+
+#define REPLAY_WINDOW_COUNT 1024
+#define REPLAY_CLOCK_SKEW_S_MAX 300
+
+enum replay_verdict {
+	REPLAY_FRESH,
+	REPLAY_SEEN,
+	REPLAY_OUTSIDE_WINDOW,
+	REPLAY_CLOCK_SKEW,
+	REPLAY_VERDICT_COUNT,
+};
+
+/*
+ * Tells authentic messages heard before from new ones: a sliding window of
+ * sequence numbers for each sender, and for a sender not yet known a bound on
+ * the age of its message.
+ */
+struct replay_guard;
+
+struct replay_guard *replay_guard_new(uint32_t sender_count_max);
+void replay_guard_free(struct replay_guard *guard);
+enum replay_verdict replay_guard_check(struct replay_guard *guard,
+				       const struct rpc_message *message,
+				       uint32_t now_s);
+uint32_t replay_guard_sender_count(const struct replay_guard *guard);
+const char *replay_verdict_name(enum replay_verdict verdict);
+
+#endif
--- a/wire/include/wire/wire_error.h
+++ b/wire/include/wire/wire_error.h
@@ -12,6 +12,7 @@
 	WIRE_ERROR_VERSION,
 	WIRE_ERROR_TOO_LARGE,
 	WIRE_ERROR_AUTHENTICATION,
+	WIRE_ERROR_KEY_FILE,
 };
 
 GQuark wire_error_quark(void);
--- /dev/null
+++ b/wire/src/replay_guard.c
@@ -0,0 +1,161 @@
+#include <wire/replay_guard.h>
+
+#include <glib.h>
+#include <string.h>
+
+#define WORD_BITS 64
+#define WORD_COUNT (REPLAY_WINDOW_COUNT / WORD_BITS)
+
+/*
+ * A sender is forgotten when it was silent for longer than its messages may
+ * be old at a first hearing, so that none of them can be played again.
+ */
+#define FORGET_S (3 * REPLAY_CLOCK_SKEW_S_MAX)
+
+struct sender {
+	uint64_t sender_id;
+	uint32_t highest;
+	uint32_t heard_s;
+	uint64_t seen[WORD_COUNT];
+};
+
+struct replay_guard {
+	GHashTable *senders;
+	uint32_t sender_count_max;
+};
+
+static const char *const verdict_names[REPLAY_VERDICT_COUNT] = {
+	[REPLAY_FRESH] = "fresh",
+	[REPLAY_SEEN] = "replayed",
+	[REPLAY_OUTSIDE_WINDOW] = "outside_window",
+	[REPLAY_CLOCK_SKEW] = "clock_skew",
+};
+
+/* Names a verdict for logs. */
+const char *replay_verdict_name(enum replay_verdict verdict)
+{
+	return verdict < REPLAY_VERDICT_COUNT ? verdict_names[verdict]
+					      : "invalid";
+}
+
+/*
+ * Makes a guard that remembers at most that many senders; when it is full,
+ * an unknown sender takes the place of the one silent for longest. The caller
+ * frees it with replay_guard_free.
+ */
+struct replay_guard *replay_guard_new(uint32_t sender_count_max)
+{
+	struct replay_guard *guard = g_new0(struct replay_guard, 1);
+
+	guard->senders = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       NULL, g_free);
+	guard->sender_count_max = sender_count_max;
+	return guard;
+}
+
+/* Frees a guard; NULL is allowed. */
+void replay_guard_free(struct replay_guard *guard)
+{
+	if (!guard)
+		return;
+	g_hash_table_destroy(guard->senders);
+	g_free(guard);
+}
+
+/* Returns the number of senders remembered. */
+uint32_t replay_guard_sender_count(const struct replay_guard *guard)
+{
+	return g_hash_table_size(guard->senders);
+}
+
+static void make_room(struct replay_guard *guard, uint32_t now_s)
+{
+	struct sender *oldest = NULL;
+	struct sender *sender;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, guard->senders);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&sender)) {
+		if (now_s - sender->heard_s > FORGET_S)
+			g_hash_table_iter_remove(&iter);
+		else if (!oldest || sender->heard_s < oldest->heard_s)
+			oldest = sender;
+	}
+	if (oldest &&
+	    replay_guard_sender_count(guard) >= guard->sender_count_max)
+		g_hash_table_remove(guard->senders, &oldest->sender_id);
+}
+
+static uint64_t *word_of(struct sender *sender, uint32_t sequence)
+{
+	return &sender->seen[sequence / WORD_BITS % WORD_COUNT];
+}
+
+static uint64_t bit_of(uint32_t sequence)
+{
+	return UINT64_C(1) << (sequence % WORD_BITS);
+}
+
+/* Moves the window up, word by word, to hold the sequence number. */
+static void advance(struct sender *sender, uint32_t sequence)
+{
+	uint32_t first = sender->highest / WORD_BITS + 1;
+	uint32_t last = sequence / WORD_BITS;
+
+	if (last >= first && last - first >= WORD_COUNT)
+		first = last - WORD_COUNT + 1;
+	for (uint32_t word = first; word <= last; word++)
+		sender->seen[word % WORD_COUNT] = 0;
+	sender->highest = sequence;
+}
+
+/* The window loses up to a word so that whole words can be cleared. */
+static bool is_below_window(const struct sender *sender, uint32_t sequence)
+{
+	return sender->highest / WORD_BITS - sequence / WORD_BITS >= WORD_COUNT;
+}
+
+static enum replay_verdict check_window(struct sender *sender,
+					uint32_t sequence)
+{
+	if (sequence > sender->highest)
+		advance(sender, sequence);
+	else if (is_below_window(sender, sequence))
+		return REPLAY_OUTSIDE_WINDOW;
+	if (*word_of(sender, sequence) & bit_of(sequence))
+		return REPLAY_SEEN;
+	*word_of(sender, sequence) |= bit_of(sequence);
+	return REPLAY_FRESH;
+}
+
+static bool is_skewed(uint32_t sent_s, uint32_t now_s)
+{
+	uint32_t skew_s = sent_s > now_s ? sent_s - now_s : now_s - sent_s;
+
+	return skew_s > REPLAY_CLOCK_SKEW_S_MAX;
+}
+
+/*
+ * Judges an authentic message (the anti-replay window of RFC 4303, section
+ * 3.4.3) and remembers it. Times are seconds of the clock that nodes share.
+ */
+enum replay_verdict replay_guard_check(struct replay_guard *guard,
+				       const struct rpc_message *message,
+				       uint32_t now_s)
+{
+	struct sender *sender =
+		g_hash_table_lookup(guard->senders, &message->sender_id);
+
+	if (!sender) {
+		if (is_skewed(message->sent_s, now_s))
+			return REPLAY_CLOCK_SKEW;
+		if (replay_guard_sender_count(guard) >= guard->sender_count_max)
+			make_room(guard, now_s);
+		sender = g_new0(struct sender, 1);
+		sender->sender_id = message->sender_id;
+		sender->highest = message->sequence;
+		g_hash_table_insert(guard->senders, &sender->sender_id, sender);
+	}
+	sender->heard_s = now_s;
+	return check_window(sender, message->sequence);
+}
