Add a demo that drives flows and requests through three nodes

A newcomer could not see the system run. scripts/demo starts three nodes on loopback and ends only those; shallotctl demo runs stand-in targets and a fabric as tasks of one process, drives an open loop of requests and flows whose packets go to any node, and counts broken flows, wrong answers and imbalance itself.

Before: no demo.

Not in yet: the drain in the middle, which needs a way to tell the nodes that a target is leaving.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 
 demo: deps
 	$(MAKE) all
-	build/shallotctl demo --duration-s $(DURATION_S)
+	scripts/demo $(DURATION_S)
 
 check: deps
 	scripts/check
--- a/ctl/include/ctl/command.h
+++ b/ctl/include/ctl/command.h
@@ -19,5 +19,6 @@
 
 extern const struct command bench_command;
 extern const struct command check_command;
+extern const struct command demo_command;
 
 #endif
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -7,6 +7,7 @@
 static const struct command *const commands[] = {
 	&bench_command,
 	&check_command,
+	&demo_command,
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
--- /dev/null
+++ b/ctl/src/demo_command.c
@@ -0,0 +1,88 @@
+#include <ctl/command.h>
+
+#include "demo_run.h"
+
+#include <getopt.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+static const struct option long_options[] = {
+	{"duration-s", required_argument, NULL, 'd'},
+	{"node", required_argument, NULL, 'n'},
+	{"rules", required_argument, NULL, 'r'},
+	{"help", no_argument, NULL, 'h'},
+	{NULL, 0, NULL, 0},
+};
+
+static const char usage_text[] =
+	"Usage: shallotctl demo --rules FILE --node REQUESTS,PACKETS ... "
+	"[--duration-s N]\n"
+	"Runs stand-in targets and a fabric, drives requests and flows through "
+	"the nodes\nand exits 1 when a flow broke or an answer was wrong. "
+	"scripts/demo starts the nodes.\n";
+
+static bool read_node(struct demo_options *options, const char *text)
+{
+	char **parts = g_strsplit(text, ",", -1);
+	bool is_valid = g_strv_length(parts) == 2 &&
+			options->node_count < DEMO_NODE_COUNT_MAX;
+
+	is_valid = is_valid &&
+		   endpoint_parse(&options->requests[options->node_count],
+				  parts[0]) &&
+		   endpoint_parse(&options->packets[options->node_count],
+				  parts[1]);
+	if (is_valid)
+		options->node_count++;
+	g_strfreev(parts);
+	return is_valid;
+}
+
+static bool read_option(struct demo_options *options, int option)
+{
+	guint64 duration_s;
+
+	switch (option) {
+	case 'd':
+		if (!g_ascii_string_to_unsigned(optarg, 10, 1,
+						DEMO_DURATION_MAX_S,
+						&duration_s, NULL))
+			return false;
+		options->duration_s = (uint32_t)duration_s;
+		return true;
+	case 'n':
+		return read_node(options, optarg);
+	case 'r':
+		options->rules_path = optarg;
+		return true;
+	default:
+		return false;
+	}
+}
+
+static int run(int argc, char **argv)
+{
+	struct demo_options options = {.duration_s = DEMO_DURATION_DEFAULT_S};
+	int option;
+
+	while ((option = getopt_long(argc, argv, "d:n:r:h", long_options,
+				     NULL)) != -1) {
+		if (option == 'h') {
+			fputs(usage_text, stdout);
+			return EXIT_CODE_DONE;
+		}
+		if (!read_option(&options, option)) {
+			fputs(usage_text, stderr);
+			return EXIT_CODE_USAGE;
+		}
+	}
+	if (options.node_count == 0 || !options.rules_path) {
+		fputs(usage_text, stderr);
+		return EXIT_CODE_USAGE;
+	}
+	return demo_run(&options);
+}
+
+const struct command demo_command = {
+	"demo", "drive stand-ins through running nodes", run};
--- /dev/null
+++ b/ctl/src/demo_run.c
@@ -0,0 +1,181 @@
+#include "demo_run.h"
+
+#include "demo_targets.h"
+
+#include <ctl/command.h>
+#include <ctl/load_task.h>
+#include <fakes/fake_fabric.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+
+#define MS_PER_S 1000
+#define US_PER_S 1000000
+#define GRACE_MS 500
+#define LOAD_RATE_PER_S 400
+#define LOAD_TIMEOUT_MS 10000
+#define LOAD_OPEN_LIMIT 1000
+#define FLOW_COUNT 300
+#define PACKET_INTERVAL_MS 100
+#define PACKETS_PER_FLOW 50
+#define SEED 1
+
+/* The kinds of request that the demo sends, by the customers' services. */
+static const struct load_class classes[] = {
+	{"reserve", "order-desk", "/blocks/7/reserve", 2, false},
+	{"availability", "order-desk", "/blocks/7", 3, true},
+	{"photo", "catalogue", "/photos/7", 5, true},
+};
+
+/* Everything that runs in this process. */
+struct demo {
+	const struct demo_options *options;
+	struct demo_targets *targets;
+	struct fake_fabric *fabric;
+	struct load_task *load;
+};
+
+/* What goes wrong in a run, by kind. */
+struct demo_verdict {
+	struct fake_fabric_result flows;
+	uint64_t outcome_counts[LOAD_OUTCOME_COUNT];
+};
+
+static bool start_fabric(struct demo *demo, GError **error)
+{
+	struct fake_fabric_options options = {
+		.nodes = demo->options->packets,
+		.node_count = demo->options->node_count,
+		.services = demo_targets_services(demo->targets),
+		.service_count = demo_targets_service_count(demo->targets),
+		.target_count = demo_targets_count(demo->targets),
+		.target_services = demo_targets_service_of(demo->targets),
+		.flow_count = FLOW_COUNT,
+		.packet_interval_ms = PACKET_INTERVAL_MS,
+		.packets_per_flow = PACKETS_PER_FLOW,
+		.seed = SEED,
+	};
+
+	demo->fabric = fake_fabric_new(&options, error);
+	if (demo->fabric)
+		demo_targets_set_fabric(demo->targets, demo->fabric);
+	return demo->fabric != NULL;
+}
+
+static bool start_load(struct demo *demo, GError **error)
+{
+	struct load_options options = {
+		.nodes = demo->options->requests,
+		.node_count = demo->options->node_count,
+		.classes = classes,
+		.class_count = G_N_ELEMENTS(classes),
+		.rate_per_s = LOAD_RATE_PER_S,
+		.duration_ms = demo->options->duration_s * MS_PER_S,
+		.timeout_ms = LOAD_TIMEOUT_MS,
+		.open_limit = LOAD_OPEN_LIMIT,
+		.seed = SEED,
+		.is_echo_checked = true,
+	};
+
+	demo->load = load_task_new(&options, error);
+	return demo->load != NULL;
+}
+
+static void print_progress(const struct demo *demo, uint32_t second)
+{
+	printf("%3u s: %" PRIu64 " packets sent, %" PRIu64
+	       " requests answered\n",
+	       second, fake_fabric_sent_count(demo->fabric),
+	       load_task_done_count(demo->load));
+	fflush(stdout);
+}
+
+static void print_curl(const struct demo *demo)
+{
+	char text[ENDPOINT_TEXT_BYTES];
+
+	printf("try: curl -i -H 'Host: %s' http://%s%s\n", classes[1].host,
+	       endpoint_format(&demo->options->requests[0], text),
+	       classes[1].path);
+}
+
+static void wait_out(struct demo *demo)
+{
+	for (uint32_t i = 1; i <= demo->options->duration_s; i++) {
+		g_usleep(US_PER_S);
+		print_progress(demo, i);
+	}
+	load_task_join(demo->load);
+}
+
+static void collect(const struct demo *demo, struct demo_verdict *verdict)
+{
+	fake_fabric_finish(demo->fabric, GRACE_MS, &verdict->flows);
+	for (uint32_t i = 0; i < G_N_ELEMENTS(classes); i++) {
+		const struct load_result *result =
+			load_task_result(demo->load, i);
+
+		for (int j = 0; j < LOAD_OUTCOME_COUNT; j++)
+			verdict->outcome_counts[j] += result->outcome_counts[j];
+		printf("%-14s%6" PRIu64 " requests, p50 %.2f ms, p99 %.2f ms\n",
+		       classes[i].name, result->sent_count,
+		       (double)latency_histogram_percentile_us(
+			       result->latencies, 50) /
+			       MS_PER_S,
+		       (double)latency_histogram_percentile_us(
+			       result->latencies, 99) /
+			       MS_PER_S);
+	}
+}
+
+static int report(const struct demo *demo, const struct demo_verdict *verdict)
+{
+	uint64_t wrong = verdict->outcome_counts[LOAD_WRONG] +
+			 verdict->outcome_counts[LOAD_BROKEN] +
+			 verdict->outcome_counts[LOAD_REJECTED];
+
+	for (int i = 0; i < LOAD_OUTCOME_COUNT; i++)
+		printf("%s=%" PRIu64 " ",
+		       load_outcome_name((enum load_outcome)i),
+		       verdict->outcome_counts[i]);
+	printf("\npackets: %" PRIu64 " sent, %" PRIu64 " arrived\n",
+	       verdict->flows.sent_count, verdict->flows.arrived_count);
+	demo_targets_print_imbalance(demo->targets, demo->fabric);
+	printf("broken flows: %" PRIu64 " of %" PRIu64 "\n"
+	       "wrong answers: %" PRIu64 "\n",
+	       verdict->flows.broken_count, verdict->flows.flow_count, wrong);
+	return verdict->flows.broken_count + wrong == 0 &&
+			       verdict->outcome_counts[LOAD_WHOLE] > 0
+		       ? EXIT_CODE_DONE
+		       : EXIT_CODE_FAILED;
+}
+
+static bool start(struct demo *demo, GError **error)
+{
+	demo->targets = demo_targets_new(demo->options->rules_path, error);
+	return demo->targets && start_fabric(demo, error) &&
+	       start_load(demo, error);
+}
+
+/* Runs the demo and returns the process's exit code. */
+int demo_run(const struct demo_options *options)
+{
+	struct demo demo = {.options = options};
+	struct demo_verdict verdict = {.flows = {.flow_count = 0}};
+	GError *error = NULL;
+	int code = EXIT_CODE_FAILED;
+
+	if (start(&demo, &error)) {
+		print_curl(&demo);
+		wait_out(&demo);
+		collect(&demo, &verdict);
+		code = report(&demo, &verdict);
+	} else {
+		fprintf(stderr, "shallotctl: %s\n", error->message);
+		g_error_free(error);
+	}
+	load_task_free(demo.load);
+	demo_targets_free(demo.targets);
+	fake_fabric_free(demo.fabric);
+	return code;
+}
--- /dev/null
+++ b/ctl/src/demo_run.h
@@ -0,0 +1,21 @@
+#ifndef DEMO_RUN_H
+#define DEMO_RUN_H
+
+#include <core/endpoint.h>
+
+#define DEMO_NODE_COUNT_MAX 16
+#define DEMO_DURATION_DEFAULT_S 15
+#define DEMO_DURATION_MAX_S 3600
+
+/* The nodes that already run, and the rules that they were given. */
+struct demo_options {
+	struct endpoint requests[DEMO_NODE_COUNT_MAX];
+	struct endpoint packets[DEMO_NODE_COUNT_MAX];
+	uint32_t node_count;
+	uint32_t duration_s;
+	const char *rules_path;
+};
+
+int demo_run(const struct demo_options *options);
+
+#endif
--- /dev/null
+++ b/ctl/src/demo_targets.c
@@ -0,0 +1,217 @@
+#include "demo_targets.h"
+
+#include <core/core_error.h>
+#include <core/rule.h>
+#include <fakes/fake_target.h>
+#include <stdatomic.h>
+#include <stdio.h>
+
+#define NAME_BYTES 32
+
+/* One target and where its packets are reported. */
+struct demo_target {
+	struct demo_targets *owner;
+	uint32_t index;
+	char name[NAME_BYTES];
+	struct fake_target *fake;
+};
+
+struct demo_targets {
+	GPtrArray *targets;
+	GArray *services;
+	GArray *service_of;
+	GPtrArray *service_names;
+	_Atomic(struct fake_fabric *) fabric;
+};
+
+static void on_packet(void *context, const uint8_t *bytes,
+		      uint32_t length_bytes)
+{
+	struct demo_target *target = context;
+	struct fake_fabric *fabric = atomic_load(&target->owner->fabric);
+
+	if (fabric)
+		fake_fabric_arrived(fabric, target->index, bytes, length_bytes);
+}
+
+static void target_free(gpointer data)
+{
+	struct demo_target *target = data;
+
+	fake_target_free(target->fake);
+	g_free(target);
+}
+
+static bool add_target(struct demo_targets *targets, uint32_t service,
+		       const struct endpoint *endpoint, GError **error)
+{
+	struct demo_target *target = g_new0(struct demo_target, 1);
+	struct fake_target_options options = {
+		.name = target->name,
+		.listen = *endpoint,
+		.observer = {.context = target, .packet = on_packet},
+	};
+
+	target->owner = targets;
+	target->index = targets->targets->len;
+	g_snprintf(target->name, sizeof(target->name), "target-%u",
+		   target->index + 1);
+	g_ptr_array_add(targets->targets, target);
+	g_array_append_val(targets->service_of, service);
+	target->fake = fake_target_new(&options, error);
+	return target->fake != NULL;
+}
+
+static bool add_rule(struct demo_targets *targets, const struct rule *rule,
+		     GError **error)
+{
+	uint32_t service = targets->services->len;
+
+	g_array_append_val(targets->services, rule->addresses[0]);
+	g_ptr_array_add(targets->service_names, g_strdup(rule->service.name));
+	for (uint32_t i = 0; i < rule->target_count; i++) {
+		if (!add_target(targets, service, &rule->targets[i].endpoint,
+				error))
+			return false;
+	}
+	return true;
+}
+
+static bool add_line(struct demo_targets *targets, const char *line,
+		     GError **error)
+{
+	struct rule *rule;
+	bool is_added;
+
+	if (*line == '\0' || *line == '#')
+		return true;
+	rule = rule_parse(line, error);
+	if (!rule)
+		return false;
+	is_added = add_rule(targets, rule, error);
+	rule_free(rule);
+	return is_added;
+}
+
+static bool add_file(struct demo_targets *targets, const char *path,
+		     GError **error)
+{
+	char *text = NULL;
+	char **lines;
+	bool is_added = true;
+
+	if (!g_file_get_contents(path, &text, NULL, error))
+		return false;
+	lines = g_strsplit(text, "\n", -1);
+	for (char **line = lines; is_added && *line; line++)
+		is_added = add_line(targets, *line, error);
+	g_strfreev(lines);
+	g_free(text);
+	return is_added;
+}
+
+/*
+ * Starts a stand-in for every target that the rules name. The caller frees
+ * the result. Fails with CORE_ERROR, TASK_ERROR or a file error.
+ */
+struct demo_targets *demo_targets_new(const char *rules_path, GError **error)
+{
+	struct demo_targets *targets = g_new0(struct demo_targets, 1);
+
+	targets->targets = g_ptr_array_new_with_free_func(target_free);
+	targets->services = g_array_new(FALSE, FALSE, sizeof(struct endpoint));
+	targets->service_of = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	targets->service_names = g_ptr_array_new_with_free_func(g_free);
+	if (add_file(targets, rules_path, error))
+		return targets;
+	demo_targets_free(targets);
+	return NULL;
+}
+
+/* Stops and frees the targets; NULL is allowed. */
+void demo_targets_free(struct demo_targets *targets)
+{
+	if (!targets)
+		return;
+	g_ptr_array_free(targets->targets, TRUE);
+	g_array_free(targets->services, TRUE);
+	g_array_free(targets->service_of, TRUE);
+	g_ptr_array_free(targets->service_names, TRUE);
+	g_free(targets);
+}
+
+/* Returns how many targets run. */
+uint32_t demo_targets_count(const struct demo_targets *targets)
+{
+	return targets->targets->len;
+}
+
+/* Returns how many services the rules name. */
+uint32_t demo_targets_service_count(const struct demo_targets *targets)
+{
+	return targets->services->len;
+}
+
+/* Returns the first address of each service. */
+const struct endpoint *demo_targets_services(const struct demo_targets *targets)
+{
+	return (const struct endpoint *)targets->services->data;
+}
+
+/* Returns the index of each target's service. */
+const uint32_t *demo_targets_service_of(const struct demo_targets *targets)
+{
+	return (const uint32_t *)targets->service_of->data;
+}
+
+/* Says who is told of packets; the fabric must outlive the targets. */
+void demo_targets_set_fabric(struct demo_targets *targets,
+			     struct fake_fabric *fabric)
+{
+	atomic_store(&targets->fabric, fabric);
+}
+
+/* Largest and mean of a count over the targets of a service. */
+struct spread {
+	double max;
+	double sum;
+	uint32_t count;
+};
+
+static void spread_add(struct spread *spread, double value)
+{
+	spread->max = MAX(spread->max, value);
+	spread->sum += value;
+	spread->count++;
+}
+
+static double spread_ratio(const struct spread *spread)
+{
+	return spread->sum > 0 ? spread->max * spread->count / spread->sum : 0;
+}
+
+/* Prints max/mean over each service's targets, of flows and of requests. */
+void demo_targets_print_imbalance(const struct demo_targets *targets,
+				  const struct fake_fabric *fabric)
+{
+	for (uint32_t i = 0; i < targets->services->len; i++) {
+		struct spread flows = {.count = 0};
+		struct spread requests = {.count = 0};
+
+		for (uint32_t j = 0; j < targets->targets->len; j++) {
+			const struct demo_target *target =
+				g_ptr_array_index(targets->targets, j);
+
+			if (demo_targets_service_of(targets)[j] != i)
+				continue;
+			spread_add(&flows,
+				   (double)fake_fabric_target_flows(fabric, j));
+			spread_add(&requests, (double)fake_target_request_count(
+						      target->fake));
+		}
+		printf("imbalance max/mean of %s: flows %.2f, requests %.2f\n",
+		       (const char *)g_ptr_array_index(targets->service_names,
+						       i),
+		       spread_ratio(&flows), spread_ratio(&requests));
+	}
+}
--- /dev/null
+++ b/ctl/src/load_result.c
@@ -0,0 +1,13 @@
+#include <ctl/load_result.h>
+
+static const char *const outcome_names[] = {
+	[LOAD_WHOLE] = "whole",	      [LOAD_NOT_RUN] = "not_run",
+	[LOAD_UNKNOWN] = "unknown",   [LOAD_WRONG] = "wrong",
+	[LOAD_REJECTED] = "rejected", [LOAD_BROKEN] = "broken",
+};
+
+/* Names an outcome for reports. */
+const char *load_outcome_name(enum load_outcome outcome)
+{
+	return outcome_names[outcome];
+}
--- /dev/null
+++ b/ctl/src/load_task.c
@@ -0,0 +1,270 @@
+#include <ctl/load_task.h>
+
+#include "load_call.h"
+
+#include <math.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <task/timer.h>
+
+#define MAILBOX_CAPACITY 16
+#define US_PER_S 1000000.0
+#define US_PER_MS 1000
+
+struct load_task {
+	struct load_options options;
+	struct task *task;
+	struct timer *timer;
+	GRand *rand;
+	struct load_result *results;
+	uint32_t share_sum;
+	int64_t start_us;
+	double next_us;
+	uint64_t next_number;
+	uint32_t open_count;
+	/* Calls that wait for their next request, one array a node. */
+	GPtrArray **idle;
+	GHashTable *calls;
+	atomic_uint_fast64_t done_count;
+	pthread_mutex_t lock;
+	pthread_cond_t ended_cond;
+	bool is_ended;
+};
+
+static uint32_t node_index(const struct load_task *load)
+{
+	return (uint32_t)g_rand_int_range(load->rand, 0,
+					  (gint32)load->options.node_count);
+}
+
+static uint32_t draw_class(const struct load_task *load)
+{
+	uint32_t draw = (uint32_t)g_rand_int_range(load->rand, 0,
+						   (gint32)load->share_sum);
+
+	for (uint32_t i = 0; i < load->options.class_count; i++) {
+		if (draw < load->options.classes[i].share)
+			return i;
+		draw -= load->options.classes[i].share;
+	}
+	return 0;
+}
+
+static void announce_end(struct load_task *load)
+{
+	pthread_mutex_lock(&load->lock);
+	load->is_ended = true;
+	pthread_cond_signal(&load->ended_cond);
+	pthread_mutex_unlock(&load->lock);
+}
+
+static bool is_over(const struct load_task *load)
+{
+	return load->next_us > (double)load->options.duration_ms * US_PER_MS;
+}
+
+static void count(struct load_task *load, uint32_t class_index,
+		  enum load_outcome outcome, uint64_t latency_us)
+{
+	struct load_result *result = &load->results[class_index];
+
+	result->outcome_counts[outcome]++;
+	latency_histogram_add(result->latencies, latency_us);
+	atomic_fetch_add(&load->done_count, 1);
+}
+
+static void on_ended(void *context, struct load_call *call,
+		     enum load_outcome outcome, uint64_t latency_us)
+{
+	struct load_task *load = context;
+	uint32_t node =
+		GPOINTER_TO_UINT(g_hash_table_lookup(load->calls, call));
+	uint32_t class_index =
+		(uint32_t)(load_call_class(call) - load->options.classes);
+
+	count(load, class_index, outcome, latency_us);
+	load->open_count--;
+	g_ptr_array_add(load->idle[node], call);
+	if (is_over(load) && load->open_count == 0)
+		announce_end(load);
+}
+
+static struct load_call *take_call(struct load_task *load, uint32_t node)
+{
+	struct load_call_options options = {
+		.base = task_base(load->task),
+		.node = load->options.nodes[node],
+		.timeout_ms = load->options.timeout_ms,
+		.is_echo_checked = load->options.is_echo_checked,
+		.context = load,
+		.ended = on_ended,
+	};
+	struct load_call *call;
+
+	if (load->idle[node]->len > 0)
+		return g_ptr_array_steal_index_fast(load->idle[node],
+						    load->idle[node]->len - 1);
+	call = load_call_new(&options);
+	g_hash_table_insert(load->calls, call, GUINT_TO_POINTER(node));
+	return call;
+}
+
+/* An arrival beyond the limit of open requests counts as broken. */
+static void arrive(struct load_task *load)
+{
+	uint32_t class_index = draw_class(load);
+	uint32_t node = node_index(load);
+	struct load_call *call;
+
+	load->results[class_index].sent_count++;
+	if (load->open_count >= load->options.open_limit) {
+		count(load, class_index, LOAD_BROKEN, 0);
+		return;
+	}
+	load->open_count++;
+	call = take_call(load, node);
+	if (!load_call_send(call, &load->options.classes[class_index],
+			    load->next_number++))
+		on_ended(load, call, LOAD_BROKEN, 0);
+}
+
+static void draw_next(struct load_task *load)
+{
+	double uniform = 1.0 - g_rand_double(load->rand);
+
+	load->next_us -= log(uniform) * US_PER_S / load->options.rate_per_s;
+}
+
+/* Sends all that is due and sleeps until the next arrival. */
+static void on_timer(void *context)
+{
+	struct load_task *load = context;
+	double now_us = (double)(g_get_monotonic_time() - load->start_us);
+	double wait_us;
+
+	while (load->next_us <= now_us && !is_over(load)) {
+		arrive(load);
+		draw_next(load);
+	}
+	if (is_over(load)) {
+		if (load->open_count == 0)
+			announce_end(load);
+		return;
+	}
+	wait_us = fmax(load->next_us - now_us, 0);
+	timer_once(load->timer, (uint32_t)(wait_us / US_PER_MS) + 1);
+}
+
+static bool start(void *context, struct task *task, GError **error)
+{
+	struct load_task *load = context;
+
+	load->task = task;
+	load->timer = timer_new(task, load, on_timer);
+	load->start_us = g_get_monotonic_time();
+	timer_once(load->timer, 0);
+	return true;
+}
+
+static void handle(void *context, struct message *message)
+{
+	message_free(message);
+}
+
+static void stop(void *context)
+{
+	struct load_task *load = context;
+	GHashTableIter iter;
+	gpointer call;
+
+	timer_free(load->timer);
+	g_hash_table_iter_init(&iter, load->calls);
+	while (g_hash_table_iter_next(&iter, &call, NULL))
+		load_call_free(call);
+	g_hash_table_remove_all(load->calls);
+}
+
+static void prepare(struct load_task *load)
+{
+	load->rand = g_rand_new_with_seed((guint32)load->options.seed);
+	load->results = g_new0(struct load_result, load->options.class_count);
+	for (uint32_t i = 0; i < load->options.class_count; i++) {
+		load->results[i].latencies = latency_histogram_new();
+		load->share_sum += load->options.classes[i].share;
+	}
+	load->idle = g_new0(GPtrArray *, load->options.node_count);
+	for (uint32_t i = 0; i < load->options.node_count; i++)
+		load->idle[i] = g_ptr_array_new();
+	load->calls = g_hash_table_new(NULL, NULL);
+	draw_next(load);
+}
+
+/*
+ * Starts the load; nodes and classes in the options must outlive it. The
+ * caller frees it with load_task_free. Fails with TASK_ERROR.
+ */
+struct load_task *load_task_new(const struct load_options *options,
+				GError **error)
+{
+	struct load_task *load = g_new0(struct load_task, 1);
+	struct task_options task_options = {
+		.name = "load",
+		.mailbox_capacity = MAILBOX_CAPACITY,
+		.context = load,
+		.start = start,
+		.handle = handle,
+		.stop = stop,
+	};
+
+	load->options = *options;
+	pthread_mutex_init(&load->lock, NULL);
+	pthread_cond_init(&load->ended_cond, NULL);
+	prepare(load);
+	load->task = task_new(&task_options, error);
+	if (load->task && task_start(load->task, error))
+		return load;
+	load_task_free(load);
+	return NULL;
+}
+
+/* Waits until the last answer or its timeout. */
+void load_task_join(struct load_task *load)
+{
+	pthread_mutex_lock(&load->lock);
+	while (!load->is_ended)
+		pthread_cond_wait(&load->ended_cond, &load->lock);
+	pthread_mutex_unlock(&load->lock);
+	task_stop(load->task);
+}
+
+/* Stops the load and frees it; NULL is allowed. */
+void load_task_free(struct load_task *load)
+{
+	if (!load)
+		return;
+	task_free(load->task);
+	pthread_mutex_destroy(&load->lock);
+	pthread_cond_destroy(&load->ended_cond);
+	for (uint32_t i = 0; i < load->options.class_count; i++)
+		latency_histogram_free(load->results[i].latencies);
+	for (uint32_t i = 0; i < load->options.node_count; i++)
+		g_ptr_array_free(load->idle[i], TRUE);
+	g_free(load->idle);
+	g_free(load->results);
+	g_hash_table_destroy(load->calls);
+	g_rand_free(load->rand);
+	g_free(load);
+}
+
+/* Returns how many requests have ended so far; any thread may ask. */
+uint64_t load_task_done_count(const struct load_task *load)
+{
+	return atomic_load(&((struct load_task *)load)->done_count);
+}
+
+/* Returns what a class got; only after load_task_join. */
+const struct load_result *load_task_result(const struct load_task *load,
+					   uint32_t class_index)
+{
+	return &load->results[class_index];
+}
--- a/fakes/include/fakes/fake_target.h
+++ b/fakes/include/fakes/fake_target.h
@@ -12,9 +12,17 @@
  */
 struct fake_target;
 
+/* Gets each packet in the target's own thread; NULL: they are only counted. */
+struct fake_target_observer {
+	void *context;
+	void (*packet)(void *context, const uint8_t *bytes,
+		       uint32_t length_bytes);
+};
+
 struct fake_target_options {
 	const char *name;
 	struct endpoint listen;
+	struct fake_target_observer observer;
 };
 
 struct fake_target *fake_target_new(const struct fake_target_options *options,
--- a/fakes/src/fake_target.c
+++ b/fakes/src/fake_target.c
@@ -37,6 +37,9 @@
 	struct fake_target *target = context;
 
 	atomic_fetch_add(&target->packet_count, 1);
+	if (target->options.observer.packet)
+		target->options.observer.packet(
+			target->options.observer.context, bytes, length_bytes);
 }
 
 static bool listen_http(struct fake_target *target, struct task *task,
