Give each test process a loopback address and ports of its own

Cause: the stand-in target took a free UDP port and then the TCP port of the same number, which another program or a closing connection may hold. Of 40 parallel runs of all tests, 9 failed in daemon/path_test with "target-1 cannot listen". Ruled out: the front end's own listeners, which no failure named.

Change: fakes/loopback.h hands out an address of 127.0.0.0/8 by process id and ports in sequence, tried for both protocols; the target and the path test use it.

Conclusion: test programs that run at once share no port.

--- a/daemon/test/path_test.c
+++ b/daemon/test/path_test.c
@@ -5,6 +5,7 @@
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <fakes/fake_target.h>
+#include <fakes/loopback.h>
 #include <fakes/test_main.h>
 #include <glib/gstdio.h>
 #include <string.h>
@@ -21,6 +22,9 @@
 	0x03, 0xe8, 0, 80, 0, 0, 0, 0, 0,  0, 0, 0, 0x50, 2, 0, 0, 0,  0, 0, 0,
 };
 
+static const char *const listen_keys[] = {"packets", "control", "requests",
+					  "admin"};
+
 struct fixture {
 	char *directory;
 	struct fake_target *target;
@@ -28,24 +32,6 @@
 	struct shallotd *daemon;
 };
 
-static uint16_t free_port(int type)
-{
-	struct endpoint endpoint;
-	struct sockaddr_storage storage;
-	socklen_t length;
-	int fd = socket(AF_INET, type, 0);
-
-	endpoint_parse(&endpoint, "127.0.0.1:1");
-	endpoint.port = 0;
-	length = sock_addr_from_endpoint(&storage, &endpoint);
-	ck_assert_int_eq(bind(fd, (struct sockaddr *)&storage, length), 0);
-	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&storage, &length),
-			 0);
-	sock_addr_to_endpoint(&endpoint, &storage);
-	close(fd);
-	return endpoint.port;
-}
-
 static char *write_file(const char *directory, const char *name,
 			const char *text)
 {
@@ -55,6 +41,23 @@
 	return path;
 }
 
+static char *settings_text(const char *rules_path)
+{
+	GString *text = g_string_new(
+		"node: {name: entry-1, zone: north-a, region: north}\n"
+		"listen:\n");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(listen_keys); i++) {
+		struct endpoint endpoint = loopback_free_endpoint();
+		char address[ENDPOINT_TEXT_BYTES];
+
+		g_string_append_printf(text, "  %s: %s\n", listen_keys[i],
+				       endpoint_format(&endpoint, address));
+	}
+	g_string_append_printf(text, "rules: {file: %s}\n", rules_path);
+	return g_string_free(text, FALSE);
+}
+
 static void write_settings(struct fixture *fixture)
 {
 	char endpoint[ENDPOINT_TEXT_BYTES];
@@ -64,16 +67,7 @@
 		"# asked by Lin Yu-ting\n",
 		endpoint_format(&target, endpoint));
 	char *rules_path = write_file(fixture->directory, "rules", rules);
-	char *text = g_strdup_printf(
-		"node: {name: entry-1, zone: north-a, region: north}\n"
-		"listen:\n"
-		"  packets: 127.0.0.1:%u\n"
-		"  control: 127.0.0.1:%u\n"
-		"  requests: 127.0.0.1:%u\n"
-		"  admin: 127.0.0.1:%u\n"
-		"rules: {file: %s}\n",
-		free_port(SOCK_DGRAM), free_port(SOCK_DGRAM),
-		free_port(SOCK_STREAM), free_port(SOCK_STREAM), rules_path);
+	char *text = settings_text(rules_path);
 	char *path = write_file(fixture->directory, "settings", text);
 	GError *error = NULL;
 
@@ -91,8 +85,6 @@
 	struct fake_target_options options = {.name = "target-1"};
 	GError *error = NULL;
 
-	endpoint_parse(&options.listen, "127.0.0.1:1");
-	options.listen.port = 0;
 	fixture->directory = g_dir_make_tmp("path_test_XXXXXX", NULL);
 	fixture->target = fake_target_new(&options, &error);
 	ck_assert_msg(!error, "%s", error ? error->message : "");
@@ -140,10 +132,12 @@
 {
 	struct evhttp_connection *connection;
 	struct evhttp_request *request;
+	char address[IP_ADDR_TEXT_BYTES];
 
 	answer->base = event_base_new();
+	ip_addr_format(&fixture->settings->listen_requests.addr, address);
 	connection = evhttp_connection_base_new(
-		answer->base, NULL, "127.0.0.1",
+		answer->base, NULL, address,
 		fixture->settings->listen_requests.port);
 	request = evhttp_request_new(on_answer, answer);
 	evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
--- /dev/null
+++ b/fakes/include/fakes/loopback.h
@@ -0,0 +1,9 @@
+#ifndef FAKES_LOOPBACK_H
+#define FAKES_LOOPBACK_H
+
+#include <core/endpoint.h>
+
+struct ip_addr loopback_own_addr(void);
+struct endpoint loopback_free_endpoint(void);
+
+#endif
--- a/fakes/src/fake_target.c
+++ b/fakes/src/fake_target.c
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 #include <event2/http.h>
+#include <fakes/loopback.h>
 #include <stdatomic.h>
 #include <task/task_error.h>
 #include <task/udp_socket.h>
@@ -72,12 +73,11 @@
 	target->socket = NULL;
 }
 
-/* The packet port is bound first and picks the number that HTTP takes too. */
 static bool start(void *context, struct task *task, GError **error)
 {
 	struct fake_target *target = context;
 	struct udp_socket_options options = {
-		.listen = target->options.listen,
+		.listen = target->endpoint,
 		.context = target,
 		.receive = on_packet,
 	};
@@ -85,7 +85,6 @@
 	target->socket = udp_socket_new(task, &options, error);
 	if (!target->socket)
 		return false;
-	target->endpoint = udp_socket_local(target->socket);
 	if (listen_http(target, task, error))
 		return true;
 	stop(target);
@@ -98,7 +97,8 @@
 }
 
 /*
- * Starts a target; port 0 takes any free one. The caller frees it with
+ * Starts a target; port 0 takes a port of this process's own loopback address
+ * that is free for HTTP and for packets. The caller frees it with
  * fake_target_free. Fails with TASK_ERROR.
  */
 struct fake_target *fake_target_new(const struct fake_target_options *options,
@@ -115,6 +115,9 @@
 	};
 
 	target->options = *options;
+	target->endpoint = options->listen;
+	if (target->endpoint.port == 0)
+		target->endpoint = loopback_free_endpoint();
 	target->task = task_new(&task_options, error);
 	if (target->task && task_start(target->task, error))
 		return target;
--- /dev/null
+++ b/fakes/src/loopback.c
@@ -0,0 +1,57 @@
+#include <fakes/loopback.h>
+
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <unistd.h>
+#include <wire/sock_addr.h>
+
+#define LOOPBACK_FIRST 0x7f010000u
+#define LOOPBACK_PID_MASK 0x003fffffu
+#define PORT_FIRST 20000
+
+/*
+ * Returns an address of 127.0.0.0/8 that only this process uses, so that test
+ * programs which run at once never take each other's ports.
+ */
+struct ip_addr loopback_own_addr(void)
+{
+	uint32_t offset = (uint32_t)getpid() & LOOPBACK_PID_MASK;
+
+	return ip_addr_from_v4(LOOPBACK_FIRST + offset);
+}
+
+/* Binds a socket of the given type; returns false when the port is taken. */
+static bool can_bind(const struct endpoint *endpoint, int type)
+{
+	struct sockaddr_storage storage;
+	socklen_t length = sock_addr_from_endpoint(&storage, endpoint);
+	int fd = socket(storage.ss_family, type | SOCK_CLOEXEC, 0);
+	bool is_free;
+
+	if (fd < 0)
+		return false;
+	is_free = bind(fd, (struct sockaddr *)&storage, length) == 0;
+	close(fd);
+	return is_free;
+}
+
+/*
+ * Finds a port of this process's own address that is free for TCP and for UDP
+ * and was not handed out before. The port is 0 when none is left.
+ */
+struct endpoint loopback_free_endpoint(void)
+{
+	static atomic_uint next_port = PORT_FIRST;
+	struct endpoint endpoint = {.addr = loopback_own_addr()};
+
+	for (;;) {
+		uint32_t port = atomic_fetch_add(&next_port, 1);
+
+		endpoint.port = port <= UINT16_MAX ? (uint16_t)port : 0;
+		if (endpoint.port == 0)
+			return endpoint;
+		if (can_bind(&endpoint, SOCK_STREAM) &&
+		    can_bind(&endpoint, SOCK_DGRAM))
+			return endpoint;
+	}
+}
