Hold idempotency keys by a majority of agreed holders

Cause: a request that may not be repeated can reach two nodes under one key: at once, after the first node died, left or was paused, or across a change of the nodes themselves.

A key is granted by a majority of its holders within one epoch of the roster. A holder new to a key fetches the claims of a majority of the former holders first; one that has lost touch with a majority of the members for a lease decides nothing; what cannot be known is answered 'unknown'.

Ruled out: a majority in mixed epochs, which two changes in a row defeat; waiting out a lifetime from the moment a node hears of an epoch, since a part that is cut off may go on granting in the former one; asking former holders key by key, which never ends once two of three have been replaced.

Conclusion: safety rests on intersecting majorities, not on clocks being equal; only the way out after the loss of most former holders counts time.

--- /dev/null
+++ b/core/include/core/claim_holder.h
@@ -0,0 +1,36 @@
+#ifndef CORE_CLAIM_HOLDER_H
+#define CORE_CLAIM_HOLDER_H
+
+#include <core/claim_message.h>
+
+/*
+ * One node's part as a holder of claims: the agreed roster, the claims of its
+ * keys, and what it must learn from former holders before it may decide.
+ */
+struct claim_holder;
+
+struct claim_holder_options {
+	uint64_t node_id;
+	uint32_t capacity;
+	uint32_t lifetime_ms;
+	uint32_t lease_ms;
+	void *context;
+	void (*send)(void *context, uint64_t to_node_id,
+		     const struct claim_message *message);
+};
+
+struct claim_holder *
+claim_holder_new(const struct claim_holder_options *options);
+void claim_holder_free(struct claim_holder *holder);
+void claim_holder_set_roster(struct claim_holder *holder,
+			     const struct roster *roster, int64_t now_ms);
+const struct roster *claim_holder_roster(const struct claim_holder *holder);
+enum claim_verdict claim_holder_ask(struct claim_holder *holder, uint64_t epoch,
+				    struct flow_print key,
+				    struct claim_token token, int64_t now_ms);
+void claim_holder_message(struct claim_holder *holder, uint64_t from_node_id,
+			  const struct claim_message *message, int64_t now_ms);
+void claim_holder_tick(struct claim_holder *holder, int64_t now_ms);
+bool claim_holder_is_complete(const struct claim_holder *holder);
+
+#endif
