Add clients of the key-value service and the VM list

Cause: the configuration and the platform's view of VMs were read from a local file only.

Change: kv_client speaks the JSON gateway of etcd v3 (range, txn compared on mod_revision, leases) with a token from a file that only its owner may read; kv_watch streams changes and ends itself when it hears nothing. fake_kv and fake_vm_list stand in for the services, count calls and can be down, slow, lose answers after the effect, garble, stall watches, compact and go back to an older state.

A write whose answer is lost, late or garbled is reported as unknown, never as failed; reads are never unknown.

Ruled out: one kept connection per client, whose timeouts would hit the calls queued behind a slow one; calls are few, so each has its own.

--- /dev/null
+++ b/fakes/src/fake_kv.c
@@ -0,0 +1,468 @@
+#include <fakes/fake_kv.h>
+
+#include "fake_kv_store.h"
+#include "fake_kv_watch.h"
+#include "http_cut.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <task/task.h>
+#include <task/task_error.h>
+#include <task/timer.h>
+#include <wire/sock_addr.h>
+
+#define MAILBOX_CAPACITY 64
+#define EXPIRE_INTERVAL_MS 100
+#define STATUS_OK 200
+#define STATUS_UNAUTHORIZED 401
+#define STATUS_NOT_FOUND 404
+#define US_PER_MS 1000
+#define MS_PER_S 1000
+
+/* The lock guards all below it: tests set faults from their own thread. */
+struct fake_kv {
+	struct fake_kv_options options;
+	struct task *task;
+	struct evhttp *http;
+	struct timer *expire_timer;
+	struct endpoint endpoint;
+	pthread_mutex_t lock;
+	struct fake_kv_store *store;
+	struct fake_kv_fault fault;
+	GPtrArray *watches;
+	GPtrArray *late_answers;
+	uint64_t read_count;
+	uint64_t write_count;
+	uint64_t watch_count;
+};
+
+/* An answer that waits for its delay. */
+struct late_answer {
+	struct fake_kv *kv;
+	struct event *event;
+	struct evhttp_request *request;
+	char *text;
+};
+
+/* One call of the gateway. */
+struct fake_kv_route {
+	const char *path;
+	bool is_write;
+	json_t *(*run)(struct fake_kv *kv, const json_t *request);
+};
+
+static json_t *run_range(struct fake_kv *kv, const json_t *request)
+{
+	return fake_kv_store_range(kv->store, request);
+}
+
+static json_t *run_txn(struct fake_kv *kv, const json_t *request)
+{
+	return fake_kv_store_txn(kv->store, request);
+}
+
+static json_t *run_grant(struct fake_kv *kv, const json_t *request)
+{
+	return fake_kv_store_grant(kv->store, request, task_now_ms());
+}
+
+static json_t *run_keep_alive(struct fake_kv *kv, const json_t *request)
+{
+	return fake_kv_store_keep_alive(kv->store, request, task_now_ms());
+}
+
+static json_t *run_revoke(struct fake_kv *kv, const json_t *request)
+{
+	return fake_kv_store_revoke(kv->store, request);
+}
+
+static const struct fake_kv_route routes[] = {
+	{"/v3/kv/range", false, run_range},
+	{"/v3/kv/txn", true, run_txn},
+	{"/v3/lease/grant", true, run_grant},
+	{"/v3/lease/keepalive", true, run_keep_alive},
+	{"/v3/lease/revoke", true, run_revoke},
+};
+
+static void answer(struct evhttp_request *request, const char *text)
+{
+	evbuffer_add(evhttp_request_get_output_buffer(request), text,
+		     strlen(text));
+	evhttp_send_reply(request, STATUS_OK, "OK", NULL);
+}
+
+static void free_late(gpointer data)
+{
+	struct late_answer *late = data;
+
+	event_free(late->event);
+	free(late->text);
+	g_free(late);
+}
+
+/* libevent reads nothing while an answer is due, so the request is alive. */
+static void on_late(evutil_socket_t fd, short what, void *context)
+{
+	struct late_answer *late = context;
+	struct fake_kv *kv = late->kv;
+
+	answer(late->request, late->text);
+	pthread_mutex_lock(&kv->lock);
+	g_ptr_array_remove(kv->late_answers, late);
+	pthread_mutex_unlock(&kv->lock);
+}
+
+static void answer_late(struct fake_kv *kv, struct evhttp_request *request,
+			char *text)
+{
+	struct late_answer *late = g_new0(struct late_answer, 1);
+	struct timeval delay = {
+		.tv_sec = kv->fault.delay_ms / MS_PER_S,
+		.tv_usec = (kv->fault.delay_ms % MS_PER_S) * US_PER_MS,
+	};
+
+	late->kv = kv;
+	late->request = request;
+	late->text = text;
+	late->event = event_new(task_base(kv->task), -1, 0, on_late, late);
+	event_add(late->event, &delay);
+	g_ptr_array_add(kv->late_answers, late);
+}
+
+static json_t *read_body(struct evhttp_request *request)
+{
+	struct evbuffer *input = evhttp_request_get_input_buffer(request);
+	size_t length = evbuffer_get_length(input);
+
+	return json_loadb((char *)evbuffer_pullup(input, -1), length, 0, NULL);
+}
+
+static void send_events(struct fake_kv *kv, struct fake_kv_watch *watch)
+{
+	json_t *events;
+
+	if (kv->fault.is_watch_stalled)
+		return;
+	events = fake_kv_store_events(kv->store, watch->range,
+				      watch->next_revision);
+	watch->next_revision = fake_kv_store_revision(kv->store) + 1;
+	if (events)
+		fake_kv_watch_send(watch, events);
+}
+
+static void send_all_events(struct fake_kv *kv)
+{
+	for (guint i = 0; i < kv->watches->len; i++)
+		send_events(kv, g_ptr_array_index(kv->watches, i));
+}
+
+static void on_watch_closed(struct evhttp_connection *connection, void *context)
+{
+	struct fake_kv *kv = context;
+
+	pthread_mutex_lock(&kv->lock);
+	for (guint i = kv->watches->len; i-- > 0;) {
+		struct fake_kv_watch *watch = g_ptr_array_index(kv->watches, i);
+
+		if (watch->connection != connection)
+			continue;
+		/* libevent leaves a request whose caller went to its user. */
+		if (!evhttp_request_get_connection(watch->request))
+			evhttp_send_reply_end(watch->request);
+		g_ptr_array_remove_index(kv->watches, i);
+		fake_kv_watch_free(watch);
+	}
+	pthread_mutex_unlock(&kv->lock);
+}
+
+static void open_watch(struct fake_kv *kv, struct evhttp_request *request,
+		       const json_t *body)
+{
+	struct fake_kv_watch *watch = g_new0(struct fake_kv_watch, 1);
+	const char *start;
+
+	kv->watch_count++;
+	watch->request = request;
+	watch->connection = evhttp_request_get_connection(request);
+	watch->range = json_deep_copy(json_object_get(body, "create_request"));
+	start = json_string_value(
+		json_object_get(watch->range, "start_revision"));
+	watch->next_revision = start ? g_ascii_strtoll(start, NULL, 10)
+				     : fake_kv_store_revision(kv->store) + 1;
+	evhttp_connection_set_closecb(watch->connection, on_watch_closed, kv);
+	evhttp_send_reply_start(request, STATUS_OK, "OK");
+	fake_kv_watch_send(watch, json_pack("{s:o, s:b}", "header",
+					    fake_kv_store_header(kv->store),
+					    "created", true));
+	g_ptr_array_add(kv->watches, watch);
+	send_events(kv, watch);
+}
+
+static void run_route(struct fake_kv *kv, const struct fake_kv_route *route,
+		      struct evhttp_request *request, const json_t *body)
+{
+	json_t *result = route->run(kv, body);
+	char *text = json_dumps(result, JSON_COMPACT);
+
+	json_decref(result);
+	if (route->is_write)
+		kv->write_count++;
+	else
+		kv->read_count++;
+	if (kv->fault.is_garbled && strlen(text) > 1)
+		text[strlen(text) / 2] = '\0';
+	if (route->is_write && kv->fault.lost_answer_count > 0) {
+		kv->fault.lost_answer_count--;
+		http_cut(request);
+		free(text);
+	} else if (kv->fault.delay_ms > 0) {
+		answer_late(kv, request, text);
+	} else {
+		answer(request, text);
+		free(text);
+	}
+	send_all_events(kv);
+}
+
+static const struct fake_kv_route *find_route(const char *path)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
+		if (strcmp(routes[i].path, path) == 0)
+			return &routes[i];
+	}
+	return NULL;
+}
+
+static bool is_authorized(const struct fake_kv *kv,
+			  struct evhttp_request *request)
+{
+	const char *token = evhttp_find_header(
+		evhttp_request_get_input_headers(request), "Authorization");
+
+	return !kv->options.token ||
+	       (token && strcmp(token, kv->options.token) == 0);
+}
+
+static void serve(struct fake_kv *kv, struct evhttp_request *request)
+{
+	const char *path = evhttp_request_get_uri(request);
+	const struct fake_kv_route *route = find_route(path);
+	json_t *body = read_body(request);
+
+	fake_kv_store_expire(kv->store, task_now_ms());
+	if (kv->fault.is_down)
+		http_cut(request);
+	else if (!is_authorized(kv, request))
+		evhttp_send_error(request, STATUS_UNAUTHORIZED, NULL);
+	else if (route)
+		run_route(kv, route, request, body);
+	else if (strcmp(path, "/v3/watch") == 0)
+		open_watch(kv, request, body);
+	else
+		evhttp_send_error(request, STATUS_NOT_FOUND, NULL);
+	json_decref(body);
+}
+
+static void on_request(struct evhttp_request *request, void *context)
+{
+	struct fake_kv *kv = context;
+
+	pthread_mutex_lock(&kv->lock);
+	serve(kv, request);
+	pthread_mutex_unlock(&kv->lock);
+}
+
+/* The next event finds the connection closed and ends the watch. */
+static void shutdown_watch(const struct fake_kv_watch *watch)
+{
+	struct bufferevent *stream =
+		evhttp_connection_get_bufferevent(watch->connection);
+
+	shutdown(bufferevent_getfd(stream), SHUT_RDWR);
+}
+
+static void cut_watches(struct fake_kv *kv)
+{
+	for (guint i = 0; i < kv->watches->len; i++) {
+		const struct fake_kv_watch *watch =
+			g_ptr_array_index(kv->watches, i);
+
+		shutdown_watch(watch);
+	}
+}
+
+static void on_expire(void *context)
+{
+	struct fake_kv *kv = context;
+
+	pthread_mutex_lock(&kv->lock);
+	fake_kv_store_expire(kv->store, task_now_ms());
+	send_all_events(kv);
+	if (kv->fault.is_down)
+		cut_watches(kv);
+	pthread_mutex_unlock(&kv->lock);
+}
+
+static void note_endpoint(struct fake_kv *kv, struct evhttp_bound_socket *bound)
+{
+	struct sockaddr_storage storage;
+	socklen_t length = sizeof(storage);
+
+	if (getsockname(evhttp_bound_socket_get_fd(bound),
+			(struct sockaddr *)&storage, &length) == 0)
+		sock_addr_to_endpoint(&kv->endpoint, &storage);
+}
+
+static bool start(void *context, struct task *task, GError **error)
+{
+	struct fake_kv *kv = context;
+	char address[IP_ADDR_TEXT_BYTES];
+	struct evhttp_bound_socket *bound;
+
+	http_cut_prepare();
+	kv->http = evhttp_new(task_base(task));
+	evhttp_set_gencb(kv->http, on_request, kv);
+	bound = evhttp_bind_socket_with_handle(
+		kv->http, ip_addr_format(&kv->options.listen.addr, address),
+		kv->options.listen.port);
+	if (!bound) {
+		g_set_error(error, TASK_ERROR, TASK_ERROR_SOCKET,
+			    "the stand-in store cannot listen on %s", address);
+		evhttp_free(kv->http);
+		kv->http = NULL;
+		return false;
+	}
+	note_endpoint(kv, bound);
+	kv->expire_timer = timer_new(task, kv, on_expire);
+	timer_every(kv->expire_timer, EXPIRE_INTERVAL_MS);
+	return true;
+}
+
+static void handle(void *context, struct message *message)
+{
+	message_free(message);
+}
+
+static void stop(void *context)
+{
+	struct fake_kv *kv = context;
+
+	timer_free(kv->expire_timer);
+	g_ptr_array_set_size(kv->late_answers, 0);
+	evhttp_free(kv->http);
+	kv->http = NULL;
+}
+
+/*
+ * Starts a store; port 0 takes any free one. The caller frees it with
+ * fake_kv_free. Fails with TASK_ERROR.
+ */
+struct fake_kv *fake_kv_new(const struct fake_kv_options *options,
+			    GError **error)
+{
+	struct fake_kv *kv = g_new0(struct fake_kv, 1);
+	struct task_options task_options = {
+		.name = "fake_kv",
+		.mailbox_capacity = MAILBOX_CAPACITY,
+		.context = kv,
+		.start = start,
+		.handle = handle,
+		.stop = stop,
+	};
+
+	kv->options = *options;
+	kv->store = fake_kv_store_new();
+	kv->watches = g_ptr_array_new();
+	kv->late_answers = g_ptr_array_new_with_free_func(free_late);
+	pthread_mutex_init(&kv->lock, NULL);
+	kv->task = task_new(&task_options, error);
+	if (kv->task && task_start(kv->task, error))
+		return kv;
+	fake_kv_free(kv);
+	return NULL;
+}
+
+/* Stops and frees the store; NULL is allowed. */
+void fake_kv_free(struct fake_kv *kv)
+{
+	if (!kv)
+		return;
+	task_free(kv->task);
+	for (guint i = 0; i < kv->watches->len; i++)
+		fake_kv_watch_free(g_ptr_array_index(kv->watches, i));
+	g_ptr_array_free(kv->watches, TRUE);
+	g_ptr_array_free(kv->late_answers, TRUE);
+	fake_kv_store_free(kv->store);
+	pthread_mutex_destroy(&kv->lock);
+	g_free(kv);
+}
+
+/* Returns the address it listens on. */
+struct endpoint fake_kv_endpoint(const struct fake_kv *kv)
+{
+	return kv->endpoint;
+}
+
+/* Sets what goes wrong from the next call on. */
+void fake_kv_set_fault(struct fake_kv *kv, const struct fake_kv_fault *fault)
+{
+	pthread_mutex_lock(&kv->lock);
+	kv->fault = *fault;
+	pthread_mutex_unlock(&kv->lock);
+}
+
+/* Forgets the history, so that older watches cannot be resumed. */
+void fake_kv_compact(struct fake_kv *kv)
+{
+	pthread_mutex_lock(&kv->lock);
+	fake_kv_store_compact(kv->store);
+	pthread_mutex_unlock(&kv->lock);
+}
+
+/* Keeps the keys as they are, for fake_kv_restore. */
+void fake_kv_snapshot(struct fake_kv *kv)
+{
+	pthread_mutex_lock(&kv->lock);
+	fake_kv_store_snapshot(kv->store);
+	pthread_mutex_unlock(&kv->lock);
+}
+
+/* Puts the keys back as they were, as an operator of the store might. */
+void fake_kv_restore(struct fake_kv *kv)
+{
+	pthread_mutex_lock(&kv->lock);
+	fake_kv_store_restore(kv->store);
+	pthread_mutex_unlock(&kv->lock);
+}
+
+static uint64_t locked_count(struct fake_kv *kv, const uint64_t *count)
+{
+	uint64_t value;
+
+	pthread_mutex_lock(&kv->lock);
+	value = *count;
+	pthread_mutex_unlock(&kv->lock);
+	return value;
+}
+
+/* Returns how many reads took effect. */
+uint64_t fake_kv_read_count(struct fake_kv *kv)
+{
+	return locked_count(kv, &kv->read_count);
+}
+
+/* Returns how many writes and lease calls took effect. */
+uint64_t fake_kv_write_count(struct fake_kv *kv)
+{
+	return locked_count(kv, &kv->write_count);
+}
+
+/* Returns how many watches were opened. */
+uint64_t fake_kv_watch_count(struct fake_kv *kv)
+{
+	return locked_count(kv, &kv->watch_count);
+}
--- /dev/null
+++ b/fakes/src/fake_kv_store.h
@@ -0,0 +1,33 @@
+#ifndef FAKE_KV_STORE_H
+#define FAKE_KV_STORE_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * The keys, leases and history of the stand-in store, with no socket. The
+ * answers are JSON objects as the gateway sends them; the caller owns them.
+ */
+struct fake_kv_store;
+
+struct fake_kv_store *fake_kv_store_new(void);
+void fake_kv_store_free(struct fake_kv_store *store);
+json_t *fake_kv_store_range(struct fake_kv_store *store, const json_t *request);
+json_t *fake_kv_store_txn(struct fake_kv_store *store, const json_t *request);
+json_t *fake_kv_store_grant(struct fake_kv_store *store, const json_t *request,
+			    int64_t now_ms);
+json_t *fake_kv_store_keep_alive(struct fake_kv_store *store,
+				 const json_t *request, int64_t now_ms);
+json_t *fake_kv_store_revoke(struct fake_kv_store *store,
+			     const json_t *request);
+json_t *fake_kv_store_events(const struct fake_kv_store *store,
+			     const json_t *watch, int64_t from_revision);
+void fake_kv_store_expire(struct fake_kv_store *store, int64_t now_ms);
+void fake_kv_store_compact(struct fake_kv_store *store);
+void fake_kv_store_snapshot(struct fake_kv_store *store);
+void fake_kv_store_restore(struct fake_kv_store *store);
+int64_t fake_kv_store_revision(const struct fake_kv_store *store);
+json_t *fake_kv_store_header(const struct fake_kv_store *store);
+
+#endif
--- /dev/null
+++ b/wire/include/wire/kv_entry.h
@@ -0,0 +1,21 @@
+#ifndef WIRE_KV_ENTRY_H
+#define WIRE_KV_ENTRY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/*
+ * A key of the platform's service. The value has a NUL behind its bytes; the
+ * modification revision is what compare-and-swap compares.
+ */
+struct kv_entry {
+	char *key;
+	char *value;
+	uint32_t value_bytes;
+	int64_t mod_revision;
+	bool is_deleted;
+};
+
+void kv_entry_free(struct kv_entry *entry);
+
+#endif
--- /dev/null
+++ b/wire/include/wire/kv_reply.h
@@ -0,0 +1,26 @@
+#ifndef WIRE_KV_REPLY_H
+#define WIRE_KV_REPLY_H
+
+#include <glib.h>
+#include <wire/kv_entry.h>
+
+/*
+ * An answer of the platform's service: the store's revision, the entries read
+ * or, where a comparison failed, the entry it failed against. A watch's reply
+ * may say that the revision it was to start from has been compacted.
+ */
+struct kv_reply {
+	int64_t store_revision;
+	bool is_succeeded;
+	bool is_compacted;
+	int64_t lease_id;
+	int64_t ttl_s;
+	GPtrArray *entries;
+};
+
+struct kv_reply *kv_reply_new(void);
+void kv_reply_free(struct kv_reply *reply);
+const struct kv_entry *kv_reply_entry(const struct kv_reply *reply,
+				      uint32_t index);
+
+#endif
