Stream requests through the request director with honest outcomes

The request front end buffered whole answers, knew no limits, turned every failure into one status and could not tell a target that saw nothing of a request from one that broke off.

Now callers, exchanges, attempts and target connections are a type each, and core's request director decides. Answers stream with back-pressure both ways of the node (256 KiB wait for a slow caller, then the target waits). Bytes handed to the kernel are counted per request, so that 'not sent' is proved. A request that may not be repeated always gets a fresh connection to the target, since a kept one that breaks leaves its fate open. An answer without a length and without chunks is refused, as its end cannot be told from a cut. An answer cut behind its headers resets the caller's connection. Settings gain limits for connections, header, body and buffered bytes, idle, read, stall, answer and connect times, and an address for each service.

Ruled out: request bodies are read whole (bounded by requests.body_bytes) before the request is decided, because the evhttp server of libevent 2.1 hands requests over only whole. Listening for a caller that leaves uses a duplicate descriptor, as evhttp stops with an error when it reads while it answers. Idempotency keys get 'unknown' until the claims between nodes land.

--- /dev/null
+++ b/daemon/include/daemon/request_settings.h
@@ -0,0 +1,29 @@
+#ifndef DAEMON_REQUEST_SETTINGS_H
+#define DAEMON_REQUEST_SETTINGS_H
+
+#include <daemon/service_listen.h>
+
+#define SERVICE_LISTEN_COUNT_MAX 128
+
+/* Limits of the request front end, and the addresses it listens on. */
+struct request_settings {
+	uint32_t connection_limit;
+	uint32_t request_limit;
+	uint32_t queue_limit;
+	uint32_t header_bytes;
+	uint32_t body_bytes;
+	uint64_t buffered_bytes;
+	/* How long a connection may wait for its next request. */
+	uint32_t idle_timeout_ms;
+	/* How long a request may take to arrive whole. */
+	uint32_t read_timeout_ms;
+	/* How long either side of an answer may make no progress. */
+	uint32_t stall_timeout_ms;
+	/* How long an answer may take in all once its headers are there. */
+	uint32_t answer_timeout_ms;
+	uint32_t connect_timeout_ms;
+	uint32_t service_listen_count;
+	struct service_listen service_listens[SERVICE_LISTEN_COUNT_MAX];
+};
+
+#endif
--- a/daemon/include/daemon/settings.h
+++ b/daemon/include/daemon/settings.h
@@ -1,8 +1,7 @@
 #ifndef DAEMON_SETTINGS_H
 #define DAEMON_SETTINGS_H
 
-#include <core/endpoint.h>
-#include <glib.h>
+#include <daemon/request_settings.h>
 
 /* The settings of one shallotd, read from YAML; see docs/OPERATORS.md. */
 struct settings {
@@ -19,6 +18,7 @@
 	uint32_t drain_timeout_ms;
 	uint32_t flow_capacity;
 	uint64_t flow_seed;
+	struct request_settings requests;
 };
 
 struct settings *settings_read(const char *path, GError **error);
--- /dev/null
+++ b/daemon/src/caller_listener.c
@@ -0,0 +1,202 @@
+#include "caller_listener.h"
+
+#include <daemon/daemon_error.h>
+#include <errno.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <string.h>
+#include <wire/sock_addr.h>
+
+#define BACKLOG 1024
+/* evhttp's own timeout; the timers of a connection are shorter. */
+#define TIMEOUT_S 86400
+#define METHODS                                                                \
+	(EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | \
+	 EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH)
+
+struct caller_listener {
+	struct caller_listener_options options;
+	struct evhttp *http;
+	struct evhttp_bound_socket *bound;
+	/* Streams whose evhttp connection is being made. */
+	GQueue accepted;
+	struct event *adopt_event;
+	/* The connections by their evhttp connection. */
+	GHashTable *connections;
+};
+
+static void on_closed(void *context, struct caller_connection *connection)
+{
+	struct caller_listener *listener = context;
+
+	g_hash_table_remove(listener->connections,
+			    caller_connection_stream(connection));
+	(*listener->options.connection_count)--;
+	listener->options.changed(listener->options.context);
+}
+
+/* evhttp registers its connection as the context of the stream's callbacks. */
+static void adopt(struct caller_listener *listener, struct bufferevent *stream)
+{
+	struct caller_connection_options options = {
+		.task = listener->options.task,
+		.settings = listener->options.settings,
+		.budget = listener->options.budget,
+		.context = listener,
+		.closed = on_closed,
+	};
+	void *http = NULL;
+
+	bufferevent_getcb(stream, NULL, NULL, NULL, &http);
+	if (!http)
+		return;
+	options.http = http;
+	g_hash_table_insert(listener->connections, stream,
+			    caller_connection_new(&options));
+	(*listener->options.connection_count)++;
+	listener->options.changed(listener->options.context);
+}
+
+static void on_adopt(evutil_socket_t fd, short what, void *context)
+{
+	struct caller_listener *listener = context;
+	struct bufferevent *stream;
+
+	while ((stream = g_queue_pop_head(&listener->accepted)) != NULL) {
+		/* Not freed meanwhile: then ours was the last reference. */
+		if (bufferevent_decref(stream) == 0)
+			adopt(listener, stream);
+	}
+}
+
+/*
+ * evhttp has no callback for a new connection, but asks for its stream. The
+ * connection itself is adopted before its first byte is read.
+ */
+static struct bufferevent *make_stream(struct event_base *base, void *context)
+{
+	struct caller_listener *listener = context;
+	struct bufferevent *stream =
+		bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+
+	bufferevent_incref(stream);
+	g_queue_push_tail(&listener->accepted, stream);
+	event_active(listener->adopt_event, EV_TIMEOUT, 0);
+	return stream;
+}
+
+static void on_request(struct evhttp_request *request, void *context)
+{
+	struct caller_listener *listener = context;
+	struct evhttp_connection *http = evhttp_request_get_connection(request);
+	struct caller_connection *connection = g_hash_table_lookup(
+		listener->connections, evhttp_connection_get_bufferevent(http));
+
+	listener->options.arrived(listener->options.context,
+				  listener->options.service_id, connection,
+				  request);
+}
+
+static void configure(struct caller_listener *listener)
+{
+	const struct request_settings *settings = listener->options.settings;
+
+	evhttp_set_gencb(listener->http, on_request, listener);
+	evhttp_set_bevcb(listener->http, make_stream, listener);
+	evhttp_set_allowed_methods(listener->http, METHODS);
+	evhttp_set_default_content_type(listener->http, NULL);
+	evhttp_set_timeout(listener->http, TIMEOUT_S);
+	evhttp_set_max_headers_size(listener->http,
+				    (ev_ssize_t)settings->header_bytes);
+	evhttp_set_max_body_size(listener->http,
+				 (ev_ssize_t)settings->body_bytes);
+}
+
+static bool bind_listener(struct caller_listener *listener)
+{
+	struct sockaddr_storage storage;
+	socklen_t length =
+		sock_addr_from_endpoint(&storage, &listener->options.endpoint);
+	struct evconnlistener *accepting = evconnlistener_new_bind(
+		task_base(listener->options.task), NULL, NULL,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC |
+			LEV_OPT_REUSEABLE,
+		BACKLOG, (struct sockaddr *)&storage, (int)length);
+
+	if (!accepting)
+		return false;
+	listener->bound = evhttp_bind_listener(listener->http, accepting);
+	return listener->bound != NULL;
+}
+
+/* Opens the address. Fails with DAEMON_ERROR_START. */
+struct caller_listener *
+caller_listener_new(const struct caller_listener_options *options,
+		    GError **error)
+{
+	struct caller_listener *listener = g_new0(struct caller_listener, 1);
+	char text[ENDPOINT_TEXT_BYTES];
+
+	listener->options = *options;
+	g_queue_init(&listener->accepted);
+	listener->connections = g_hash_table_new(NULL, NULL);
+	listener->adopt_event =
+		event_new(task_base(options->task), -1, 0, on_adopt, listener);
+	listener->http = evhttp_new(task_base(options->task));
+	configure(listener);
+	if (bind_listener(listener))
+		return listener;
+	g_set_error(error, DAEMON_ERROR, DAEMON_ERROR_START,
+		    "cannot listen for requests on %s: %s",
+		    endpoint_format(&options->endpoint, text), strerror(errno));
+	caller_listener_free(listener);
+	return NULL;
+}
+
+/* Closes the address and every connection; NULL is allowed. */
+void caller_listener_free(struct caller_listener *listener)
+{
+	struct bufferevent *stream;
+
+	if (!listener)
+		return;
+	evhttp_free(listener->http);
+	while ((stream = g_queue_pop_head(&listener->accepted)) != NULL)
+		bufferevent_decref(stream);
+	event_free(listener->adopt_event);
+	g_hash_table_destroy(listener->connections);
+	g_free(listener);
+}
+
+/* Accepts connections, or leaves them in the kernel's queue. */
+void caller_listener_accept(struct caller_listener *listener, bool is_open)
+{
+	struct evconnlistener *accepting;
+
+	if (!listener->bound)
+		return;
+	accepting = evhttp_bound_socket_get_listener(listener->bound);
+	if (is_open)
+		evconnlistener_enable(accepting);
+	else
+		evconnlistener_disable(accepting);
+}
+
+/* Closes the address, so that callers connect elsewhere. */
+void caller_listener_leave(struct caller_listener *listener)
+{
+	if (listener->bound)
+		evhttp_del_accept_socket(listener->http, listener->bound);
+	listener->bound = NULL;
+}
+
+/* Closes the connections that carry no request. */
+void caller_listener_close_idle(struct caller_listener *listener)
+{
+	GHashTableIter iter;
+	gpointer connection;
+
+	g_hash_table_iter_init(&iter, listener->connections);
+	while (g_hash_table_iter_next(&iter, NULL, &connection))
+		caller_connection_close_idle(connection);
+}
--- /dev/null
+++ b/daemon/src/caller_watch.c
@@ -0,0 +1,73 @@
+#include "caller_watch.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/*
+ * The descriptor is a duplicate, so that the event can be edge-triggered: a
+ * caller that sends its next request early wakes the loop once and no more.
+ */
+struct caller_watch {
+	struct event *event;
+	evutil_socket_t fd;
+	void *context;
+	void (*gone)(void *context);
+};
+
+static bool is_closed(evutil_socket_t fd)
+{
+	char byte;
+	ssize_t length = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	if (length < 0)
+		return errno != EAGAIN && errno != EINTR;
+	return length == 0;
+}
+
+static void on_event(evutil_socket_t fd, short what, void *context)
+{
+	struct caller_watch *watch = context;
+
+	if ((what & EV_CLOSED) || is_closed(fd))
+		watch->gone(watch->context);
+}
+
+/*
+ * Watches a connection. gone may free the watch. Returns NULL when there is no
+ * descriptor left; the request then runs without being watched.
+ */
+struct caller_watch *caller_watch_new(struct event_base *base,
+				      evutil_socket_t fd, void *context,
+				      void (*gone)(void *context))
+{
+	struct caller_watch *watch = g_new0(struct caller_watch, 1);
+
+	watch->context = context;
+	watch->gone = gone;
+	watch->fd = fcntl(fd, F_DUPFD_CLOEXEC, 0);
+	if (watch->fd >= 0)
+		watch->event =
+			event_new(base, watch->fd,
+				  EV_READ | EV_CLOSED | EV_ET | EV_PERSIST,
+				  on_event, watch);
+	if (watch->event && event_add(watch->event, NULL) == 0)
+		return watch;
+	caller_watch_free(watch);
+	return NULL;
+}
+
+/* Stops watching; NULL is allowed. */
+void caller_watch_free(struct caller_watch *watch)
+{
+	if (!watch)
+		return;
+	if (watch->event)
+		event_free(watch->event);
+	if (watch->fd >= 0)
+		close(watch->fd);
+	g_free(watch);
+}
--- /dev/null
+++ b/daemon/src/header_filter.h
@@ -0,0 +1,19 @@
+#ifndef HEADER_FILTER_H
+#define HEADER_FILTER_H
+
+#include <event2/http.h>
+#include <stdbool.h>
+
+/* How a message says where its body ends (RFC 9112, section 6). */
+enum body_framing {
+	FRAMING_NONE,
+	FRAMING_LENGTH,
+	FRAMING_CHUNKED,
+	FRAMING_BAD,
+};
+
+enum body_framing header_filter_framing(struct evkeyvalq *headers);
+bool header_filter_is_valid(struct evkeyvalq *headers);
+bool header_filter_copy(struct evkeyvalq *to, struct evkeyvalq *from);
+
+#endif
--- /dev/null
+++ b/daemon/src/request_reader.c
@@ -0,0 +1,119 @@
+#include "request_reader.h"
+
+#include "header_filter.h"
+
+#include <event2/buffer.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <wire/sock_addr.h>
+#include <xxhash.h>
+
+#define DEADLINE_MAX_MS 86400000
+#define STATUS_OK 0
+
+/* Methods whose requests change nothing (RFC 9110, section 9.2.1). */
+#define SAFE_METHODS (EVHTTP_REQ_GET | EVHTTP_REQ_HEAD | EVHTTP_REQ_OPTIONS)
+/* evhttp reads the bodies of these only. */
+#define BODY_METHODS (EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_PATCH)
+
+static bool has_sound_body(struct evhttp_request *request)
+{
+	struct evkeyvalq *headers = evhttp_request_get_input_headers(request);
+	enum body_framing framing = header_filter_framing(headers);
+	const char *length;
+
+	if (framing == FRAMING_BAD)
+		return false;
+	if (evhttp_request_get_command(request) & BODY_METHODS)
+		return true;
+	/* A body that nobody reads would be taken for the next request. */
+	length = evhttp_find_header(headers, "Content-Length");
+	return framing == FRAMING_NONE || (length && strcmp(length, "0") == 0);
+}
+
+/*
+ * Only safe methods repeat by themselves. PUT and DELETE are idempotent, but
+ * a second run may land behind another caller's change and undo it.
+ */
+static bool is_repeatable(const struct service *service,
+			  struct evhttp_request *request)
+{
+	if (service->repeatability == REPEAT_BY_METHOD)
+		return (evhttp_request_get_command(request) & SAFE_METHODS) !=
+		       0;
+	return service->repeatability == REPEAT_ALWAYS;
+}
+
+static uint64_t caller_hash(struct evhttp_request *request)
+{
+	const struct sockaddr *addr = evhttp_connection_get_addr(
+		evhttp_request_get_connection(request));
+	struct sockaddr_storage storage = {.ss_family = AF_UNSPEC};
+	struct endpoint caller;
+	size_t length = addr && addr->sa_family == AF_INET6
+				? sizeof(struct sockaddr_in6)
+				: sizeof(struct sockaddr_in);
+
+	if (!addr)
+		return 0;
+	memcpy(&storage, addr, length);
+	if (!sock_addr_to_endpoint(&caller, &storage))
+		return 0;
+	return XXH3_64bits(&caller.addr, sizeof(caller.addr));
+}
+
+static void read_idempotency_key(struct request_event *event,
+				 struct evkeyvalq *headers)
+{
+	const char *key = evhttp_find_header(headers, "Idempotency-Key");
+	XXH128_hash_t hash;
+
+	if (!key || *key == '\0')
+		return;
+	hash = XXH3_128bits_withSeed(key, strlen(key), event->service_id);
+	event->has_idempotency_key = true;
+	event->idempotency_print.high = hash.high64;
+	event->idempotency_print.low = hash.low64;
+}
+
+/* The caller may ask for less time than the service grants, not for more. */
+static bool read_deadline(struct request_event *event,
+			  struct evkeyvalq *headers, uint32_t timeout_ms,
+			  int64_t now_ms)
+{
+	const char *text = evhttp_find_header(headers, "Shallot-Deadline-Ms");
+	guint64 asked_ms = timeout_ms;
+
+	if (text && !g_ascii_string_to_unsigned(text, 10, 0, DEADLINE_MAX_MS,
+						&asked_ms, NULL))
+		return false;
+	event->deadline_ms = now_ms + (int64_t)MIN(asked_ms, timeout_ms);
+	return true;
+}
+
+/*
+ * Fills in an event whose service_id is that of the listening address or
+ * SERVICE_NONE. Returns 0, or the status with which to reject the request.
+ */
+int request_reader_read(struct request_event *event,
+			struct evhttp_request *request,
+			const struct rule_set *rules, int64_t now_ms)
+{
+	struct evkeyvalq *headers = evhttp_request_get_input_headers(request);
+	const char *host = evhttp_request_get_host(request);
+	const struct rule *rule;
+
+	if (!header_filter_is_valid(headers) || !has_sound_body(request))
+		return STATUS_BAD_REQUEST;
+	if (event->service_id == SERVICE_NONE && host)
+		event->service_id = service_id_from_name(host);
+	rule = rule_set_by_id(rules, event->service_id);
+	if (!rule || rule->service.protocol != SERVICE_HTTP)
+		return STATUS_MISDIRECTED;
+	if (!read_deadline(event, headers, rule->service.timeout_ms, now_ms))
+		return STATUS_BAD_REQUEST;
+	event->is_repeatable = is_repeatable(&rule->service, request);
+	event->caller_hash = caller_hash(request);
+	read_idempotency_key(event, headers);
+	return STATUS_OK;
+}
--- a/daemon/src/request_task.c
+++ b/daemon/src/request_task.c
@@ -1,229 +1,105 @@
 #include <daemon/request_task.h>
 
-#include <core/reason.h>
-#include <core/target_rank.h>
-#include <daemon/daemon_error.h>
+#include "request_front.h"
+
+#include <daemon/drain_message.h>
 #include <daemon/metrics_message.h>
+#include <daemon/nodes_message.h>
 #include <daemon/rules_message.h>
-#include <event2/buffer.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
-#include <inttypes.h>
-#include <string.h>
-#include <sys/queue.h>
-#include <task/counter_set.h>
-#include <task/log.h>
-#include <unistd.h>
-
-#define MAILBOX_CAPACITY 1024
-#define STATUS_MISDIRECTED 421
-#define STATUS_UNAVAILABLE 503
-#define STATUS_UNKNOWN 504
+#include <daemon/target_state_message.h>
 
-enum request_counter {
-	REQUESTS_RECEIVED,
-	REQUESTS_ANSWERED,
-	REQUESTS_NOT_RUN,
-	REQUESTS_UNKNOWN,
-	REQUEST_COUNTER_COUNT,
-};
-
-static const struct counter_row counter_rows[REQUEST_COUNTER_COUNT] = {
-	[REQUESTS_RECEIVED] = {"shallot_requests_received_total",
-			       "Requests read from callers.", COUNTER_TOTAL},
-	[REQUESTS_ANSWERED] = {"shallot_requests_total{outcome=\"answered\"}",
-			       "Requests ended, by outcome.", COUNTER_TOTAL},
-	[REQUESTS_NOT_RUN] = {"shallot_requests_total{outcome=\"not_run\"}",
-			      "Requests ended, by outcome.", COUNTER_TOTAL},
-	[REQUESTS_UNKNOWN] = {"shallot_requests_total{outcome=\"unknown\"}",
-			      "Requests ended, by outcome.", COUNTER_TOTAL},
-};
+#define MAILBOX_CAPACITY 4096
 
 struct request_task {
 	struct task *task;
 	const struct settings *settings;
-	struct evhttp *http;
-	struct rule_set *rules;
-	struct counter_set *counters;
-	struct log *log;
-	uint64_t next_request_id;
-	GPtrArray *connections;
-};
-
-/* A connection to a target, kept open for the next request to it. */
-struct target_connection {
-	uint64_t target_id;
-	struct evhttp_connection *http;
-	bool is_busy;
-};
-
-/* One request on its way to a target and back. */
-struct exchange {
-	struct request_task *requests;
-	struct evhttp_request *from_caller;
-	struct target_connection *to_target;
+	struct request_front *front;
+	/* Whoever waits for the end of the drain. */
+	struct task *drain_reply_to;
 };
 
-static void refuse(struct request_task *requests,
-		   struct evhttp_request *from_caller, int status,
-		   const char *outcome, enum request_counter counter)
+/* A full mailbox of the asker would lose the word; its timeout then decides. */
+static void on_drained(void *context)
 {
-	struct evkeyvalq *headers =
-		evhttp_request_get_output_headers(from_caller);
-
-	evhttp_add_header(headers, "Shallot-Outcome", outcome);
-	counter_set_add(requests->counters, counter, 1);
-	evhttp_send_reply(from_caller, status, outcome, NULL);
-}
-
-static void copy_headers(struct evkeyvalq *to, struct evkeyvalq *from)
-{
-	struct evkeyval *header;
+	struct request_task *requests = context;
+	struct message *drained = drained_message_new(requests->task);
 
-	TAILQ_FOREACH (header, from, next)
-		evhttp_add_header(to, header->key, header->value);
+	if (task_post(requests->drain_reply_to, drained) != POST_TAKEN)
+		message_free(drained);
 }
 
-static void on_answer(struct evhttp_request *from_target, void *context)
+static bool start(void *context, struct task *task, GError **error)
 {
-	struct exchange *exchange = context;
-	struct request_task *requests = exchange->requests;
-	struct evhttp_request *from_caller = exchange->from_caller;
-	int status =
-		from_target ? evhttp_request_get_response_code(from_target) : 0;
+	struct request_task *requests = context;
+	struct request_front_options options = {
+		.task = task,
+		.settings = requests->settings,
+		.context = requests,
+		.drained = on_drained,
+	};
 
-	if (status == 0) {
-		refuse(requests, from_caller, STATUS_UNKNOWN, "unknown",
-		       REQUESTS_UNKNOWN);
-	} else {
-		copy_headers(evhttp_request_get_output_headers(from_caller),
-			     evhttp_request_get_input_headers(from_target));
-		counter_set_add(requests->counters, REQUESTS_ANSWERED, 1);
-		evhttp_send_reply(from_caller, status, NULL,
-				  evhttp_request_get_input_buffer(from_target));
-	}
-	exchange->to_target->is_busy = false;
-	g_free(exchange);
+	requests->front = request_front_new(&options, error);
+	return requests->front != NULL;
 }
 
-static void target_connection_free(gpointer data)
+static void on_rules(struct request_task *requests, struct message *message)
 {
-	struct target_connection *connection = data;
-
-	evhttp_connection_free(connection->http);
-	g_free(connection);
+	request_front_set_rules(requests->front, rules_message_take(message));
 }
 
-static struct target_connection *connect_to(struct request_task *requests,
-					    const struct target *target)
+/* Every node that is not dead shares the targets. */
+static void on_nodes(struct request_task *requests, struct message *message)
 {
-	struct target_connection *connection;
-	char address[IP_ADDR_TEXT_BYTES];
+	struct node_view *view = nodes_message_take(message);
+	uint32_t node_count = 0;
 
-	for (guint i = 0; i < requests->connections->len; i++) {
-		connection = g_ptr_array_index(requests->connections, i);
-		if (!connection->is_busy &&
-		    connection->target_id == target->target_id)
-			return connection;
+	for (uint32_t i = 0; i < node_view_count(view); i++) {
+		if (node_view_at(view, i)->state != NODE_DEAD)
+			node_count++;
 	}
-	ip_addr_format(&target->endpoint.addr, address);
-	connection = g_new0(struct target_connection, 1);
-	connection->target_id = target->target_id;
-	connection->http =
-		evhttp_connection_base_new(task_base(requests->task), NULL,
-					   address, target->endpoint.port);
-	g_ptr_array_add(requests->connections, connection);
-	return connection;
+	node_view_free(view);
+	request_front_set_node_count(requests->front, node_count);
 }
 
-static void forward(struct request_task *requests,
-		    struct evhttp_request *from_caller,
-		    const struct target *target)
+static void on_target_state(struct request_task *requests,
+			    struct message *message)
 {
-	struct exchange *exchange = g_new0(struct exchange, 1);
-	struct evhttp_request *request =
-		evhttp_request_new(on_answer, exchange);
+	const struct target_state_message *state =
+		(struct target_state_message *)message;
 
-	exchange->requests = requests;
-	exchange->from_caller = from_caller;
-	exchange->to_target = connect_to(requests, target);
-	exchange->to_target->is_busy = true;
-	copy_headers(evhttp_request_get_output_headers(request),
-		     evhttp_request_get_input_headers(from_caller));
-	evbuffer_add_buffer(evhttp_request_get_output_buffer(request),
-			    evhttp_request_get_input_buffer(from_caller));
-	evhttp_make_request(exchange->to_target->http, request,
-			    evhttp_request_get_command(from_caller),
-			    evhttp_request_get_uri(from_caller));
+	request_front_set_target_state(requests->front, state->target_id,
+				       state->state);
 }
 
-/* The service whose name the Host header carries, or the only HTTP one. */
-static const struct rule *find_rule(struct request_task *requests,
-				    const char *host)
+static void on_metrics(struct request_task *requests, struct message *message)
 {
-	uint32_t service_id = host ? service_id_from_name(host) : SERVICE_NONE;
-
-	return rule_set_by_id(requests->rules, service_id);
+	metrics_request_answer(message,
+			       request_front_counters(requests->front));
 }
 
-static void on_request(struct evhttp_request *from_caller, void *context)
+static void on_drain(struct request_task *requests, struct message *message)
 {
-	struct request_task *requests = context;
-	uint64_t request_id = requests->next_request_id++;
-	const struct rule *rule =
-		find_rule(requests, evhttp_request_get_host(from_caller));
-	struct flow_print print = {.low = request_id};
-	const struct target *target;
-	char text[ENDPOINT_TEXT_BYTES];
-
-	counter_set_add(requests->counters, REQUESTS_RECEIVED, 1);
-	if (!rule) {
-		refuse(requests, from_caller, STATUS_MISDIRECTED, "not-run",
-		       REQUESTS_NOT_RUN);
-		return;
-	}
-	target = target_rank_first(rule->targets, rule->target_count, print);
-	if (!target) {
-		refuse(requests, from_caller, STATUS_UNAVAILABLE, "not-run",
-		       REQUESTS_NOT_RUN);
-		return;
-	}
-	log_write(requests->log, LOG_LEVEL_INFO, "routing",
-		  "request=%" PRIu64 " service=%s target=%s reason=%s",
-		  request_id, rule->service.name,
-		  endpoint_format(&target->endpoint, text),
-		  reason_name(REASON_ADMITTED));
-	forward(requests, from_caller, target);
+	requests->drain_reply_to = ((struct drain_message *)message)->reply_to;
+	request_front_drain(requests->front);
 }
 
-static bool start(void *context, struct task *task, GError **error)
-{
-	struct request_task *requests = context;
-	const struct endpoint *listen = &requests->settings->listen_requests;
-	char address[IP_ADDR_TEXT_BYTES];
-
-	requests->http = evhttp_new(task_base(task));
-	evhttp_set_gencb(requests->http, on_request, requests);
-	ip_addr_format(&listen->addr, address);
-	if (evhttp_bind_socket(requests->http, address, listen->port) == 0)
-		return true;
-	g_set_error(error, DAEMON_ERROR, DAEMON_ERROR_START,
-		    "cannot listen for requests on %s port %u", address,
-		    listen->port);
-	evhttp_free(requests->http);
-	requests->http = NULL;
-	return false;
-}
+/* What the task does with each type of message; others are not for it. */
+static const struct {
+	const struct message_type *type;
+	void (*handle)(struct request_task *requests, struct message *message);
+} handlers[] = {
+	{&rules_message_type, on_rules},
+	{&nodes_message_type, on_nodes},
+	{&target_state_message_type, on_target_state},
+	{&metrics_request_type, on_metrics},
+	{&drain_message_type, on_drain},
+};
 
 static void handle(void *context, struct message *message)
 {
-	struct request_task *requests = context;
-
-	if (message->type == &rules_message_type) {
-		rule_set_free(requests->rules);
-		requests->rules = rules_message_take(message);
-	} else if (message->type == &metrics_request_type) {
-		metrics_request_answer(message, requests->counters);
+	for (size_t i = 0; i < G_N_ELEMENTS(handlers); i++) {
+		if (message->type == handlers[i].type)
+			handlers[i].handle(context, message);
 	}
 	message_free(message);
 }
@@ -232,14 +108,13 @@
 {
 	struct request_task *requests = context;
 
-	g_ptr_array_set_size(requests->connections, 0);
-	evhttp_free(requests->http);
-	requests->http = NULL;
+	request_front_free(requests->front);
+	requests->front = NULL;
 }
 
 /*
  * Makes the request front end. The settings must outlive it; the caller frees
- * it with request_task_free.
+ * it with request_task_free. Fails with TASK_ERROR_RESOURCE.
  */
 struct request_task *request_task_new(const struct settings *settings,
 				      GError **error)
@@ -253,21 +128,8 @@
 		.handle = handle,
 		.stop = stop,
 	};
-	struct log_options log_options = {
-		.program = "shallotd",
-		.task = "requests",
-		.level = (enum log_level)settings->log_level,
-		.rate_per_s = settings->log_rate_per_s,
-		.fd = STDERR_FILENO,
-	};
 
 	requests->settings = settings;
-	requests->rules = rule_set_new(0);
-	requests->counters =
-		counter_set_new(counter_rows, REQUEST_COUNTER_COUNT);
-	requests->log = log_new(&log_options);
-	requests->connections =
-		g_ptr_array_new_with_free_func(target_connection_free);
 	requests->task = task_new(&options, error);
 	if (requests->task)
 		return requests;
@@ -281,10 +143,6 @@
 	if (!requests)
 		return;
 	task_free(requests->task);
-	rule_set_free(requests->rules);
-	counter_set_free(requests->counters);
-	log_free(requests->log);
-	g_ptr_array_free(requests->connections, TRUE);
 	g_free(requests);
 }
 
--- a/daemon/src/settings.c
+++ b/daemon/src/settings.c
@@ -40,12 +40,19 @@
 	return (const char *)node->data.scalar.value;
 }
 
+static bool is_any_key(const struct setting_row *row)
+{
+	return strcmp(row->key, "*") == 0;
+}
+
 static const struct setting_row *find_row(const char *section, const char *key)
 {
 	for (size_t i = 0; i < settings_row_count; i++) {
-		if (strcmp(settings_rows[i].section, section) == 0 &&
-		    strcmp(settings_rows[i].key, key) == 0)
-			return &settings_rows[i];
+		const struct setting_row *row = &settings_rows[i];
+
+		if (strcmp(row->section, section) == 0 &&
+		    (is_any_key(row) || strcmp(row->key, key) == 0))
+			return row;
 	}
 	return NULL;
 }
@@ -62,11 +69,11 @@
 	snprintf(name, sizeof(name), "%s.%s", section, key ? key : "?");
 	if (!row)
 		return fail(reader, key_node, name, "a known key");
-	if (reader->is_seen[row - settings_rows])
+	if (reader->is_seen[row - settings_rows] && !is_any_key(row))
 		return fail(reader, key_node, name, "the key only once");
 	reader->is_seen[row - settings_rows] = true;
 	if (scalar(value_node) &&
-	    settings_assign(reader->settings, row, scalar(value_node)))
+	    settings_assign(reader->settings, row, key, scalar(value_node)))
 		return true;
 	settings_describe(row, expected, sizeof(expected));
 	return fail(reader, value_node, name, expected);
@@ -141,7 +148,8 @@
 			return false;
 		}
 		if (row->preset)
-			settings_assign(reader->settings, row, row->preset);
+			settings_assign(reader->settings, row, row->key,
+					row->preset);
 	}
 	return true;
 }
--- a/daemon/src/settings_schema.c
+++ b/daemon/src/settings_schema.c
@@ -23,6 +23,30 @@
 	 true, NULL},
 	{"listen", "admin", SETTING_ENDPOINT, AT(listen_admin), 0, 0, true,
 	 NULL},
+	{"services", "*", SETTING_SERVICE_LISTEN, AT(requests), 0, 0, false,
+	 NULL},
+	{"requests", "connection_limit", SETTING_U32,
+	 AT(requests.connection_limit), 1, 100000, false, "4000"},
+	{"requests", "request_limit", SETTING_U32, AT(requests.request_limit),
+	 1, 100000, false, "2000"},
+	{"requests", "queue_limit", SETTING_U32, AT(requests.queue_limit), 0,
+	 100000, false, "1000"},
+	{"requests", "header_bytes", SETTING_U32, AT(requests.header_bytes),
+	 1024, 1048576, false, "16384"},
+	{"requests", "body_bytes", SETTING_U32, AT(requests.body_bytes), 0,
+	 67108864, false, "1048576"},
+	{"requests", "buffered_bytes", SETTING_U64, AT(requests.buffered_bytes),
+	 65536, 1ULL << 40, false, "67108864"},
+	{"requests", "idle_timeout_ms", SETTING_U32,
+	 AT(requests.idle_timeout_ms), 10, 3600000, false, "60000"},
+	{"requests", "read_timeout_ms", SETTING_U32,
+	 AT(requests.read_timeout_ms), 10, 3600000, false, "15000"},
+	{"requests", "stall_timeout_ms", SETTING_U32,
+	 AT(requests.stall_timeout_ms), 10, 3600000, false, "15000"},
+	{"requests", "answer_timeout_ms", SETTING_U32,
+	 AT(requests.answer_timeout_ms), 10, 86400000, false, "3600000"},
+	{"requests", "connect_timeout_ms", SETTING_U32,
+	 AT(requests.connect_timeout_ms), 10, 60000, false, "1000"},
 	{"rules", "file", SETTING_TEXT, AT(rules_file), 1, 4095, false, NULL},
 	{"log", "level", SETTING_LEVEL, AT(log_level), 0, 0, false, "info"},
 	{"log", "rate_per_s", SETTING_U32, AT(log_rate_per_s), 1, 1000000,
@@ -73,9 +97,33 @@
 					  NULL);
 }
 
-/* Stores a value; returns false when it is not one that the row allows. */
+/* Adds a service's address; a name may come once. */
+static bool add_service_listen(struct request_settings *requests,
+			       const char *name, const char *value)
+{
+	struct service_listen *listen =
+		&requests->service_listens[requests->service_listen_count];
+
+	if (requests->service_listen_count >= SERVICE_LISTEN_COUNT_MAX ||
+	    *name == '\0' || strlen(name) >= SERVICE_NAME_BYTES)
+		return false;
+	for (uint32_t i = 0; i < requests->service_listen_count; i++) {
+		if (strcmp(requests->service_listens[i].name, name) == 0)
+			return false;
+	}
+	g_strlcpy(listen->name, name, SERVICE_NAME_BYTES);
+	if (!endpoint_parse(&listen->endpoint, value))
+		return false;
+	requests->service_listen_count++;
+	return true;
+}
+
+/*
+ * Stores the value of a key; returns false when it is not one that the row
+ * allows.
+ */
 bool settings_assign(struct settings *settings, const struct setting_row *row,
-		     const char *value)
+		     const char *key, const char *value)
 {
 	void *slot = (char *)settings + row->offset;
 	guint64 number;
@@ -97,6 +145,8 @@
 			return false;
 		*(uint64_t *)slot = number;
 		return true;
+	case SETTING_SERVICE_LISTEN:
+		return add_service_listen(slot, key, value);
 	}
 	return false;
 }
@@ -118,6 +168,10 @@
 		snprintf(text, text_bytes,
 			 "error, warning, notice, info or debug");
 		break;
+	case SETTING_SERVICE_LISTEN:
+		snprintf(text, text_bytes,
+			 "a service name once, and its address:port");
+		break;
 	case SETTING_U32:
 	case SETTING_U64:
 		snprintf(text, text_bytes,
--- a/daemon/src/settings_schema.h
+++ b/daemon/src/settings_schema.h
@@ -11,9 +11,12 @@
 	SETTING_U32,
 	SETTING_U64,
 	SETTING_LEVEL,
+	/* Any key: the name of a service, with its address as the value. */
+	SETTING_SERVICE_LISTEN,
 };
 
-/* One key: where its value goes and which values are allowed. */
+/* One key, or "*" for any: where its value goes and which values are allowed.
+ */
 struct setting_row {
 	const char *section;
 	const char *key;
@@ -29,7 +32,7 @@
 extern const size_t settings_row_count;
 
 bool settings_assign(struct settings *settings, const struct setting_row *row,
-		     const char *value);
+		     const char *key, const char *value);
 void settings_describe(const struct setting_row *row, char *text,
 		       size_t text_bytes);
 
--- /dev/null
+++ b/daemon/src/target_attempt.c
@@ -0,0 +1,328 @@
+#include "target_attempt.h"
+
+#include "header_filter.h"
+
+#include <event2/buffer.h>
+#include <inttypes.h>
+#include <string.h>
+#include <task/timer.h>
+
+#define STATUS_FIRST_FINAL 200
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
+#define STATUS_UNAVAILABLE 503
+#define NUMBER_BYTES 24
+
+struct target_attempt {
+	struct target_attempt_options options;
+	struct target_connection *connection;
+	struct timer *timer;
+	/* Reports the end outside evhttp's callbacks. */
+	struct event *finish_event;
+	enum evhttp_cmd_type method;
+	enum attempt_outcome outcome;
+	int64_t start_ms;
+	int64_t headers_ms;
+	uint64_t progress_bytes;
+	enum evhttp_request_error error;
+	bool has_error;
+	bool has_headers;
+	bool is_paused;
+	bool is_over;
+	bool is_cancelled;
+};
+
+static void finish(struct target_attempt *attempt, enum attempt_outcome outcome)
+{
+	if (attempt->is_over)
+		return;
+	attempt->is_over = true;
+	attempt->outcome = outcome;
+	timer_cancel(attempt->timer);
+	event_active(attempt->finish_event, EV_TIMEOUT, 0);
+}
+
+/* Keeps the connection only behind a whole answer. */
+static void release_connection(struct target_attempt *attempt)
+{
+	struct target_connection *connection = attempt->connection;
+
+	attempt->connection = NULL;
+	if (attempt->outcome == ATTEMPT_WHOLE && !attempt->is_cancelled)
+		target_pool_keep(attempt->options.pool, connection);
+	else
+		target_connection_free(connection);
+}
+
+static void on_finish(evutil_socket_t fd, short what, void *context)
+{
+	struct target_attempt *attempt = context;
+	const struct attempt_events *events = &attempt->options.events;
+
+	release_connection(attempt);
+	events->ended(events->context, attempt, attempt->outcome);
+}
+
+static enum attempt_outcome failure_of(const struct target_attempt *attempt)
+{
+	if (target_connection_sent_bytes(attempt->connection) == 0)
+		return ATTEMPT_NOT_SENT;
+	if (attempt->has_headers)
+		return ATTEMPT_TRUNCATED;
+	if (attempt->has_error &&
+	    (attempt->error == EVREQ_HTTP_INVALID_HEADER ||
+	     attempt->error == EVREQ_HTTP_DATA_TOO_LONG))
+		return ATTEMPT_MALFORMED;
+	return ATTEMPT_RESET;
+}
+
+static void on_error(enum evhttp_request_error error, void *context)
+{
+	struct target_attempt *attempt = context;
+
+	attempt->error = error;
+	attempt->has_error = true;
+}
+
+static void on_complete(struct evhttp_request *answer, void *context)
+{
+	struct target_attempt *attempt = context;
+	bool is_whole = answer && attempt->has_headers && !attempt->has_error &&
+			evhttp_request_get_response_code(answer) != 0;
+
+	finish(attempt, is_whole ? ATTEMPT_WHOLE : failure_of(attempt));
+}
+
+static bool is_shed(struct evhttp_request *answer)
+{
+	const char *outcome = evhttp_find_header(
+		evhttp_request_get_input_headers(answer), "Shallot-Outcome");
+
+	return evhttp_request_get_response_code(answer) == STATUS_UNAVAILABLE &&
+	       outcome && strcmp(outcome, "not-run") == 0;
+}
+
+static bool has_no_body(const struct target_attempt *attempt, int status)
+{
+	return attempt->method == EVHTTP_REQ_HEAD ||
+	       status == STATUS_NO_CONTENT || status == STATUS_NOT_MODIFIED;
+}
+
+/*
+ * A body that ends where the connection ends cannot be told from one that was
+ * cut, so an answer has to say its length or come in chunks.
+ */
+static bool is_acceptable(const struct target_attempt *attempt,
+			  struct evhttp_request *answer)
+{
+	struct evkeyvalq *headers = evhttp_request_get_input_headers(answer);
+	enum body_framing framing = header_filter_framing(headers);
+	int status = evhttp_request_get_response_code(answer);
+
+	if (status < STATUS_FIRST_FINAL || framing == FRAMING_BAD ||
+	    !header_filter_is_valid(headers))
+		return false;
+	return framing != FRAMING_NONE || has_no_body(attempt, status);
+}
+
+static int on_headers(struct evhttp_request *answer, void *context)
+{
+	struct target_attempt *attempt = context;
+	const struct attempt_events *events = &attempt->options.events;
+
+	if (attempt->is_over)
+		return -1;
+	if (is_shed(answer)) {
+		finish(attempt, ATTEMPT_SHED);
+		return -1;
+	}
+	if (!is_acceptable(attempt, answer)) {
+		finish(attempt, ATTEMPT_MALFORMED);
+		return -1;
+	}
+	attempt->has_headers = true;
+	attempt->headers_ms = task_now_ms();
+	timer_every(attempt->timer,
+		    attempt->options.settings->stall_timeout_ms);
+	events->headers(events->context, attempt, answer);
+	return attempt->is_over ? -1 : 0;
+}
+
+static void on_body(struct evhttp_request *answer, void *context)
+{
+	struct target_attempt *attempt = context;
+	const struct attempt_events *events = &attempt->options.events;
+	struct evbuffer *bytes = evhttp_request_get_input_buffer(answer);
+
+	if (attempt->is_over)
+		return;
+	attempt->progress_bytes += evbuffer_get_length(bytes);
+	events->body(events->context, attempt, bytes);
+}
+
+/* Before the headers: the time to connect, then the deadline. */
+static void check_deadline(struct target_attempt *attempt)
+{
+	const struct target_attempt_options *options = &attempt->options;
+	int64_t now_ms = task_now_ms();
+	bool is_sent = target_connection_sent_bytes(attempt->connection) > 0;
+
+	if (!is_sent &&
+	    now_ms - attempt->start_ms >= options->settings->connect_timeout_ms)
+		finish(attempt, ATTEMPT_NOT_SENT);
+	else if (now_ms >= options->deadline_ms)
+		finish(attempt, is_sent ? ATTEMPT_TIMEOUT : ATTEMPT_NOT_SENT);
+	else
+		timer_once(attempt->timer,
+			   (uint32_t)(options->deadline_ms - now_ms));
+}
+
+/* Behind the headers: the target must go on unless we made it wait. */
+static void check_progress(struct target_attempt *attempt)
+{
+	const struct request_settings *settings = attempt->options.settings;
+	bool is_stalled = !attempt->is_paused && attempt->progress_bytes == 0;
+	bool is_late = task_now_ms() - attempt->headers_ms >=
+		       settings->answer_timeout_ms;
+
+	attempt->progress_bytes = 0;
+	if (is_stalled || is_late)
+		finish(attempt, ATTEMPT_TRUNCATED);
+}
+
+static void on_timer(void *context)
+{
+	struct target_attempt *attempt = context;
+
+	if (attempt->has_headers)
+		check_progress(attempt);
+	else
+		check_deadline(attempt);
+}
+
+static void arm_timer(struct target_attempt *attempt)
+{
+	const struct target_attempt_options *options = &attempt->options;
+	int64_t left_ms = options->deadline_ms - attempt->start_ms;
+
+	timer_once(attempt->timer,
+		   (uint32_t)CLAMP(left_ms, 0,
+				   options->settings->connect_timeout_ms));
+}
+
+static void add_number(struct evkeyvalq *headers, const char *name,
+		       uint64_t value)
+{
+	char text[NUMBER_BYTES];
+
+	g_snprintf(text, sizeof(text), "%" PRIu64, value);
+	evhttp_remove_header(headers, name);
+	evhttp_add_header(headers, name, text);
+}
+
+/* The body is shared with the caller's request, so that a retry finds it. */
+static bool fill_request(const struct target_attempt *attempt,
+			 struct evhttp_request *request)
+{
+	const struct target_attempt_options *options = &attempt->options;
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
+	struct evbuffer *body =
+		evhttp_request_get_input_buffer(options->from_caller);
+	int64_t left_ms = options->deadline_ms - attempt->start_ms;
+
+	if (!header_filter_copy(headers, evhttp_request_get_input_headers(
+						 options->from_caller)))
+		return false;
+	add_number(headers, "Shallot-Deadline-Ms", (uint64_t)MAX(left_ms, 0));
+	if (evbuffer_get_length(body) == 0)
+		return true;
+	add_number(headers, "Content-Length", evbuffer_get_length(body));
+	return evbuffer_add_buffer_reference(
+		       evhttp_request_get_output_buffer(request), body) == 0;
+}
+
+/* Returns false when nothing was sent. */
+static bool send_request(struct target_attempt *attempt)
+{
+	struct evhttp_request *from_caller = attempt->options.from_caller;
+	struct evhttp_request *request =
+		evhttp_request_new(on_complete, attempt);
+
+	evhttp_request_set_header_cb(request, on_headers);
+	evhttp_request_set_chunked_cb(request, on_body);
+	evhttp_request_set_error_cb(request, on_error);
+	if (!fill_request(attempt, request)) {
+		evhttp_request_free(request);
+		return false;
+	}
+	return evhttp_make_request(target_connection_http(attempt->connection),
+				   request, attempt->method,
+				   evhttp_request_get_uri(from_caller)) == 0;
+}
+
+/* Starts an attempt; no event runs before this returns. */
+struct target_attempt *
+target_attempt_new(const struct target_attempt_options *options)
+{
+	struct target_attempt *attempt = g_new0(struct target_attempt, 1);
+
+	attempt->options = *options;
+	attempt->start_ms = task_now_ms();
+	attempt->method = evhttp_request_get_command(options->from_caller);
+	attempt->connection = target_pool_take(
+		options->pool, options->placement.target_id,
+		&options->placement.endpoint, !options->is_repeatable);
+	attempt->timer = timer_new(options->task, attempt, on_timer);
+	attempt->finish_event =
+		event_new(task_base(options->task), -1, 0, on_finish, attempt);
+	arm_timer(attempt);
+	if (!send_request(attempt))
+		finish(attempt, ATTEMPT_NOT_SENT);
+	return attempt;
+}
+
+/* Closes and frees an attempt; not from its headers and body events. */
+void target_attempt_free(struct target_attempt *attempt)
+{
+	if (!attempt)
+		return;
+	target_connection_free(attempt->connection);
+	timer_free(attempt->timer);
+	event_free(attempt->finish_event);
+	g_free(attempt);
+}
+
+/* Ends an attempt that nobody waits for any more; ended runs soon. */
+void target_attempt_cancel(struct target_attempt *attempt)
+{
+	attempt->is_cancelled = true;
+	finish(attempt, ATTEMPT_RESET);
+}
+
+/* Tells whether the attempt's end means nothing any more. */
+bool target_attempt_is_cancelled(const struct target_attempt *attempt)
+{
+	return attempt->is_cancelled;
+}
+
+/* Makes the target wait while the caller is behind, or lets it go on. */
+void target_attempt_pause(struct target_attempt *attempt, bool is_paused)
+{
+	if (attempt->is_over || attempt->is_paused == is_paused)
+		return;
+	attempt->is_paused = is_paused;
+	attempt->progress_bytes++;
+	target_connection_pause(attempt->connection, is_paused);
+}
+
+/* Returns the number by which late events are told from current ones. */
+uint64_t target_attempt_id(const struct target_attempt *attempt)
+{
+	return attempt->options.attempt_id;
+}
+
+/* Returns the request that the attempt serves. */
+uint64_t target_attempt_request_id(const struct target_attempt *attempt)
+{
+	return attempt->options.request_id;
+}
--- /dev/null
+++ b/daemon/src/target_attempt.h
@@ -0,0 +1,50 @@
+#ifndef TARGET_ATTEMPT_H
+#define TARGET_ATTEMPT_H
+
+#include "target_pool.h"
+
+#include <core/attempt_outcome.h>
+#include <core/placement.h>
+#include <daemon/request_settings.h>
+
+/*
+ * One attempt of a request at a target. headers and body run as the answer
+ * comes in, but not once the attempt is cancelled. ended runs once, last, also
+ * for a cancelled attempt, which its owner may free from then on.
+ */
+struct target_attempt;
+
+struct attempt_events {
+	void *context;
+	void (*headers)(void *context, struct target_attempt *attempt,
+			struct evhttp_request *answer);
+	void (*body)(void *context, struct target_attempt *attempt,
+		     struct evbuffer *bytes);
+	void (*ended)(void *context, struct target_attempt *attempt,
+		      enum attempt_outcome outcome);
+};
+
+struct target_attempt_options {
+	struct task *task;
+	struct target_pool *pool;
+	const struct request_settings *settings;
+	uint64_t request_id;
+	uint64_t attempt_id;
+	struct placement placement;
+	int64_t deadline_ms;
+	bool is_repeatable;
+	/* What the caller sent; read during target_attempt_new only. */
+	struct evhttp_request *from_caller;
+	struct attempt_events events;
+};
+
+struct target_attempt *
+target_attempt_new(const struct target_attempt_options *options);
+void target_attempt_free(struct target_attempt *attempt);
+void target_attempt_cancel(struct target_attempt *attempt);
+bool target_attempt_is_cancelled(const struct target_attempt *attempt);
+void target_attempt_pause(struct target_attempt *attempt, bool is_paused);
+uint64_t target_attempt_id(const struct target_attempt *attempt);
+uint64_t target_attempt_request_id(const struct target_attempt *attempt);
+
+#endif
--- /dev/null
+++ b/daemon/src/target_connection.c
@@ -0,0 +1,116 @@
+#include "target_connection.h"
+
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <glib.h>
+#include <sys/socket.h>
+
+/* A chunk of an answer must fit in here, since evhttp reads chunks whole. */
+#define INPUT_BYTES_MAX (1024 * 1024)
+/* evhttp's own timeout; the timers of an attempt are shorter. */
+#define TIMEOUT_S 86400
+
+struct target_connection {
+	uint64_t target_id;
+	struct evhttp_connection *http;
+	struct bufferevent *stream;
+	uint64_t sent_bytes;
+};
+
+static void on_output(struct evbuffer *output,
+		      const struct evbuffer_cb_info *info, void *context)
+{
+	struct target_connection *connection = context;
+
+	connection->sent_bytes += info->n_deleted;
+}
+
+/* Makes a connection that opens with its first request. */
+struct target_connection *target_connection_new(struct event_base *base,
+						uint64_t target_id,
+						const struct endpoint *endpoint)
+{
+	struct target_connection *connection =
+		g_new0(struct target_connection, 1);
+	char address[IP_ADDR_TEXT_BYTES];
+
+	ip_addr_format(&endpoint->addr, address);
+	connection->target_id = target_id;
+	connection->http =
+		evhttp_connection_base_new(base, NULL, address, endpoint->port);
+	evhttp_connection_set_timeout(connection->http, TIMEOUT_S);
+	connection->stream =
+		evhttp_connection_get_bufferevent(connection->http);
+	bufferevent_setwatermark(connection->stream, EV_READ, 0,
+				 INPUT_BYTES_MAX);
+	evbuffer_add_cb(bufferevent_get_output(connection->stream), on_output,
+			connection);
+	return connection;
+}
+
+/* Closes and frees the connection; NULL is allowed. */
+void target_connection_free(struct target_connection *connection)
+{
+	if (!connection)
+		return;
+	evbuffer_remove_cb(bufferevent_get_output(connection->stream),
+			   on_output, connection);
+	evhttp_connection_free(connection->http);
+	g_free(connection);
+}
+
+/* Returns the target at the other end. */
+uint64_t target_connection_target_id(const struct target_connection *connection)
+{
+	return connection->target_id;
+}
+
+/* Returns the library's connection, to make a request on it. */
+struct evhttp_connection *
+target_connection_http(struct target_connection *connection)
+{
+	return connection->http;
+}
+
+/* Counts sent bytes from zero again. */
+void target_connection_restart(struct target_connection *connection)
+{
+	connection->sent_bytes = 0;
+}
+
+/*
+ * Returns how many bytes went to the kernel since the restart. Zero proves
+ * that the target saw nothing of the request; any other number proves nothing.
+ */
+uint64_t
+target_connection_sent_bytes(const struct target_connection *connection)
+{
+	return connection->sent_bytes;
+}
+
+/*
+ * Tells whether a kept connection is open and silent. Bytes that nobody asked
+ * for would be taken for the answer to the next request.
+ */
+bool target_connection_is_clean(const struct target_connection *connection)
+{
+	evutil_socket_t fd = bufferevent_getfd(connection->stream);
+	char byte;
+
+	if (fd < 0 ||
+	    evbuffer_get_length(bufferevent_get_input(connection->stream)) > 0)
+		return false;
+	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+	       errno == EAGAIN;
+}
+
+/* Stops reading, so that the target has to wait, or goes on. */
+void target_connection_pause(struct target_connection *connection,
+			     bool is_paused)
+{
+	if (is_paused)
+		bufferevent_disable(connection->stream, EV_READ);
+	else
+		bufferevent_enable(connection->stream, EV_READ);
+}
--- /dev/null
+++ b/daemon/src/target_connection.h
@@ -0,0 +1,27 @@
+#ifndef TARGET_CONNECTION_H
+#define TARGET_CONNECTION_H
+
+#include <core/endpoint.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <stdbool.h>
+
+/* A connection to a target; it carries one request at a time. */
+struct target_connection;
+
+struct target_connection *
+target_connection_new(struct event_base *base, uint64_t target_id,
+		      const struct endpoint *endpoint);
+void target_connection_free(struct target_connection *connection);
+uint64_t
+target_connection_target_id(const struct target_connection *connection);
+struct evhttp_connection *
+target_connection_http(struct target_connection *connection);
+void target_connection_restart(struct target_connection *connection);
+uint64_t
+target_connection_sent_bytes(const struct target_connection *connection);
+bool target_connection_is_clean(const struct target_connection *connection);
+void target_connection_pause(struct target_connection *connection,
+			     bool is_paused);
+
+#endif
