Drain on SIGTERM, reread log settings on SIGHUP, and prove the outcomes

A stop cut whatever was in progress, and nothing showed what a caller sees when a target or a caller misbehaves.

Now a drain task asks each work task to take no new work and waits for their answers or drain.timeout_ms; the request front end closes its addresses, ends keep-alive connections with their next answer and idle ones a step later. The main thread waits in sigwait, so signals reach it alone. SIGHUP applies log settings and names the section that needs a restart. Keys are claimed through the claims task where there is one.

--- /dev/null
+++ b/daemon/include/daemon/drain_task.h
@@ -0,0 +1,24 @@
+#ifndef DAEMON_DRAIN_TASK_H
+#define DAEMON_DRAIN_TASK_H
+
+#include <task/task.h>
+
+/*
+ * Leads a node's stop: asks tasks to drain and waits for their answers, or
+ * for the timeout. done runs once, in this task's thread.
+ */
+struct drain_task;
+
+struct drain_task_options {
+	struct task *const *tasks;
+	uint32_t task_count;
+	uint32_t timeout_ms;
+	void *context;
+	void (*done)(void *context, bool is_drained);
+};
+
+struct drain_task *drain_task_new(const struct drain_task_options *options,
+				  GError **error);
+void drain_task_free(struct drain_task *drain);
+
+#endif
--- a/daemon/include/daemon/request_task.h
+++ b/daemon/include/daemon/request_task.h
@@ -7,8 +7,14 @@
 /* The request front end: ends callers' HTTP connections. */
 struct request_task;
 
-struct request_task *request_task_new(const struct settings *settings,
-				      GError **error);
+struct request_task_options {
+	const struct settings *settings;
+	/* Where idempotency keys are claimed; NULL: none is ever granted. */
+	struct task *claims;
+};
+
+struct request_task *
+request_task_new(const struct request_task_options *options, GError **error);
 void request_task_free(struct request_task *requests);
 struct task *request_task_task(struct request_task *requests);
 
--- a/daemon/include/daemon/settings.h
+++ b/daemon/include/daemon/settings.h
@@ -22,6 +22,8 @@
 };
 
 struct settings *settings_read(const char *path, GError **error);
+const char *settings_restart_reason(const struct settings *running,
+				    const struct settings *read);
 void settings_free(struct settings *settings);
 
 #endif
--- a/daemon/include/daemon/shallotd.h
+++ b/daemon/include/daemon/shallotd.h
@@ -6,8 +6,18 @@
 /* One node: its tasks and the messages they get at start and stop. */
 struct shallotd;
 
+/* done runs once, in a thread of the node's. */
+struct shallotd_drain_options {
+	void *context;
+	void (*done)(void *context, bool is_drained);
+};
+
 struct shallotd *shallotd_new(const struct settings *settings, GError **error);
 void shallotd_free(struct shallotd *daemon);
-void shallotd_drain(struct shallotd *daemon);
+bool shallotd_drain(struct shallotd *daemon,
+		    const struct shallotd_drain_options *options,
+		    GError **error);
+void shallotd_set_log(struct shallotd *daemon, uint32_t level,
+		      uint32_t rate_per_s);
 
 #endif
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,8 +1,10 @@
+#include <daemon/daemon_error.h>
 #include <daemon/settings.h>
 #include <daemon/shallotd.h>
-#include <event2/event.h>
 #include <getopt.h>
+#include <pthread.h>
 #include <signal.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <task/log.h>
 #include <unistd.h>
@@ -32,53 +34,143 @@
 	"  -h, --help                 print this text\n"
 	"  -V, --version              print the version\n"
 	"\n"
-	"Exit codes: 0 done, 1 failed, 2 usage, 65 bad settings or rules.\n"
-	"SIGTERM and SIGINT drain and stop.\n";
+	"Exit codes: 0 drained and stopped, 1 not started or not drained in "
+	"time,\n2 usage, 65 bad settings or rules.\n"
+	"SIGTERM and SIGINT drain and stop, a second one stops at once. SIGHUP "
+	"rereads\nthe log settings and says which others need a restart.\n";
 
-/* What the signal handlers of the main loop need. */
+/* The signal by which the node's drain wakes the main thread. */
+#define SIGNAL_DRAINED SIGUSR1
+
+/* What the main thread holds while it waits for signals. */
 struct process {
-	struct event_base *base;
+	const char *settings_path;
+	const struct settings *settings;
 	struct shallotd *daemon;
 	struct log *log;
+	atomic_bool is_drained;
 };
 
-static void on_stop_signal(evutil_socket_t number, short what, void *context)
+static void on_drained(void *context, bool is_drained)
 {
 	struct process *process = context;
 
-	log_write(process->log, LOG_LEVEL_NOTICE, "stopping", "signal=%d",
-		  (int)number);
-	shallotd_drain(process->daemon);
-	event_base_loopbreak(process->base);
+	atomic_store(&process->is_drained, is_drained);
+	kill(getpid(), SIGNAL_DRAINED);
 }
 
-static void on_reread_signal(evutil_socket_t number, short what, void *context)
+/* Returns false when the node stops without a drain. */
+static bool start_drain(struct process *process, int number)
 {
-	struct process *process = context;
+	struct shallotd_drain_options options = {
+		.context = process,
+		.done = on_drained,
+	};
+	GError *error = NULL;
+
+	log_write(process->log, LOG_LEVEL_NOTICE, "draining",
+		  "signal=%d timeout_ms=%u", number,
+		  process->settings->drain_timeout_ms);
+	if (shallotd_drain(process->daemon, &options, &error))
+		return true;
+	log_write(process->log, LOG_LEVEL_ERROR, "not_drained", "error=\"%s\"",
+		  error->message);
+	g_error_free(error);
+	return false;
+}
+
+static void apply_settings(struct process *process,
+			   const struct settings *settings)
+{
+	const char *section =
+		settings_restart_reason(process->settings, settings);
+
+	if (section)
+		log_write(process->log, LOG_LEVEL_WARNING,
+			  "settings_need_restart", "section=%s", section);
+	log_configure(process->log, (enum log_level)settings->log_level,
+		      LOG_RATE_PER_S);
+	shallotd_set_log(process->daemon, settings->log_level,
+			 settings->log_rate_per_s);
+	log_write(process->log, LOG_LEVEL_NOTICE, "settings_reread",
+		  "log_level=%u log_rate_per_s=%u", settings->log_level,
+		  settings->log_rate_per_s);
+}
+
+/* Log settings change at once; for the others the node says so. */
+static void reread_settings(struct process *process)
+{
+	GError *error = NULL;
+	struct settings *settings =
+		settings_read(process->settings_path, &error);
+
+	if (settings) {
+		apply_settings(process, settings);
+	} else {
+		log_write(process->log, LOG_LEVEL_ERROR, "settings_not_reread",
+			  "error=\"%s\"", error->message);
+		g_error_free(error);
+	}
+	settings_free(settings);
+}
 
-	log_write(process->log, LOG_LEVEL_WARNING, "settings_not_reread",
-		  "reason=restart_needed");
+/* Every thread inherits the mask, so that only sigwait gets the signals. */
+static void block_signals(sigset_t *signals)
+{
+	signal(SIGPIPE, SIG_IGN);
+	sigemptyset(signals);
+	sigaddset(signals, SIGTERM);
+	sigaddset(signals, SIGINT);
+	sigaddset(signals, SIGHUP);
+	sigaddset(signals, SIGNAL_DRAINED);
+	pthread_sigmask(SIG_BLOCK, signals, NULL);
+}
+
+/* Waits until the drain is over; a second stop signal ends it early. */
+static int wait_for_end(struct process *process, const sigset_t *signals)
+{
+	bool is_draining = false;
+	int number = 0;
+
+	while (sigwait(signals, &number) == 0) {
+		if (number == SIGHUP) {
+			reread_settings(process);
+			continue;
+		}
+		if (number == SIGNAL_DRAINED || is_draining)
+			break;
+		is_draining = start_drain(process, number);
+		if (!is_draining)
+			break;
+	}
+	return atomic_load(&process->is_drained) ? EXIT_DONE : EXIT_FAILED;
 }
 
-static void wait_for_signal(struct process *process)
+static int run_node(struct process *process, const sigset_t *signals)
 {
-	struct event *term =
-		evsignal_new(process->base, SIGTERM, on_stop_signal, process);
-	struct event *interrupt =
-		evsignal_new(process->base, SIGINT, on_stop_signal, process);
-	struct event *hangup =
-		evsignal_new(process->base, SIGHUP, on_reread_signal, process);
-
-	event_add(term, NULL);
-	event_add(interrupt, NULL);
-	event_add(hangup, NULL);
-	event_base_dispatch(process->base);
-	event_free(term);
-	event_free(interrupt);
-	event_free(hangup);
+	GError *error = NULL;
+	int code;
+
+	process->daemon = shallotd_new(process->settings, &error);
+	if (!process->daemon) {
+		code = g_error_matches(error, DAEMON_ERROR, DAEMON_ERROR_RULES)
+			       ? EXIT_BAD_DATA
+			       : EXIT_FAILED;
+		log_write(process->log, LOG_LEVEL_ERROR, "not_started",
+			  "error=\"%s\"", error->message);
+		g_error_free(error);
+		return code;
+	}
+	log_write(process->log, LOG_LEVEL_NOTICE, "started", "node=%s zone=%s",
+		  process->settings->node_name, process->settings->zone);
+	code = wait_for_end(process, signals);
+	log_write(process->log, LOG_LEVEL_NOTICE, "stopped", "drained=%s",
+		  code == EXIT_DONE ? "yes" : "no");
+	shallotd_free(process->daemon);
+	return code;
 }
 
-static int run(const struct settings *settings)
+static int run(const char *path, const struct settings *settings)
 {
 	struct log_options log_options = {
 		.program = "shallotd",
@@ -87,28 +179,18 @@
 		.rate_per_s = LOG_RATE_PER_S,
 		.fd = STDERR_FILENO,
 	};
-	struct process process = {.log = log_new(&log_options)};
-	GError *error = NULL;
+	struct process process = {
+		.settings_path = path,
+		.settings = settings,
+		.log = log_new(&log_options),
+	};
+	sigset_t signals;
+	int code;
 
-	signal(SIGPIPE, SIG_IGN);
-	process.base = event_base_new();
-	process.daemon = shallotd_new(settings, &error);
-	if (process.daemon) {
-		log_write(process.log, LOG_LEVEL_NOTICE, "started",
-			  "node=%s zone=%s", settings->node_name,
-			  settings->zone);
-		wait_for_signal(&process);
-		shallotd_free(process.daemon);
-	} else {
-		log_write(process.log, LOG_LEVEL_ERROR, "not_started",
-			  "error=\"%s\"", error->message);
-	}
-	event_base_free(process.base);
+	block_signals(&signals);
+	code = run_node(&process, &signals);
 	log_free(process.log);
-	if (!error)
-		return EXIT_DONE;
-	g_error_free(error);
-	return EXIT_FAILED;
+	return code;
 }
 
 static int run_with(const char *path, bool is_check)
@@ -123,7 +205,7 @@
 		return EXIT_BAD_DATA;
 	}
 	if (!is_check)
-		code = run(settings);
+		code = run(path, settings);
 	settings_free(settings);
 	return code;
 }
--- a/daemon/src/packet_task.c
+++ b/daemon/src/packet_task.c
@@ -2,6 +2,8 @@
 
 #include <core/placement.h>
 #include <core/target_rank.h>
+#include <daemon/drain_message.h>
+#include <daemon/log_settings_message.h>
 #include <daemon/metrics_message.h>
 #include <daemon/rules_message.h>
 #include <inttypes.h>
@@ -140,6 +142,16 @@
 	return packets->socket != NULL;
 }
 
+/* This front end keeps no records, so there is nothing to hand over. */
+static void answer_drain(struct packet_task *packets,
+			 const struct drain_message *drain)
+{
+	struct message *drained = drained_message_new(packets->task);
+
+	if (task_post(drain->reply_to, drained) != POST_TAKEN)
+		message_free(drained);
+}
+
 static void handle(void *context, struct message *message)
 {
 	struct packet_task *packets = context;
@@ -149,6 +161,11 @@
 		packets->rules = rules_message_take(message);
 	} else if (message->type == &metrics_request_type) {
 		metrics_request_answer(message, packets->counters);
+	} else if (message->type == &log_settings_message_type) {
+		log_settings_message_apply(
+			(struct log_settings_message *)message, packets->log);
+	} else if (message->type == &drain_message_type) {
+		answer_drain(packets, (struct drain_message *)message);
 	}
 	message_free(message);
 }
--- a/daemon/src/request_effects.c
+++ b/daemon/src/request_effects.c
@@ -3,6 +3,8 @@
 #include "request_front_state.h"
 #include "request_reader.h"
 
+#include <daemon/claim_reply_message.h>
+#include <daemon/claim_request_message.h>
 #include <inttypes.h>
 
 /* Returns the entry of an open request, or NULL. */
@@ -160,16 +162,46 @@
 		  text, reason_name(placement->reason));
 }
 
+/* Nobody to ask, or no room to ask: then nothing is known of the key. */
+static void claim_unknown(struct request_front *front, uint64_t request_id)
+{
+	struct message *reply =
+		claim_reply_message_new(request_id, CLAIM_UNKNOWN);
+
+	if (task_post(front->options.task, reply) != POST_TAKEN)
+		message_free(reply);
+}
+
+static bool post_claim(struct request_front *front, enum claim_action action,
+		       const struct request_event *event)
+{
+	struct message *request;
+
+	if (!front->options.claims)
+		return false;
+	request = claim_request_message_new(action, event, front->options.task);
+	if (task_post(front->options.claims, request) == POST_TAKEN)
+		return true;
+	message_free(request);
+	return false;
+}
+
 static void claim(void *context, const struct request_event *event)
 {
+	struct request_front *front = context;
+
+	if (!post_claim(front, CLAIM_ACTION_ASK, event))
+		claim_unknown(front, event->request_id);
 }
 
 static void release(void *context, const struct request_event *event)
 {
+	post_claim(context, CLAIM_ACTION_RELEASE, event);
 }
 
 static void settle(void *context, const struct request_event *event)
 {
+	post_claim(context, CLAIM_ACTION_SETTLE, event);
 }
 
 /* Fills in what the director calls. */
--- a/daemon/src/request_front.c
+++ b/daemon/src/request_front.c
@@ -97,6 +97,17 @@
 	target_attempt_free(attempt);
 }
 
+static struct target_pool *new_pool(const struct request_front *front)
+{
+	struct target_pool_options options = {
+		.task = front->options.task,
+		.capacity = POOL_CAPACITY,
+		.header_bytes = front->options.settings->requests.header_bytes,
+	};
+
+	return target_pool_new(&options);
+}
+
 static struct log *new_log(const struct settings *settings)
 {
 	struct log_options options = {
@@ -144,7 +155,7 @@
 	struct task *task = front->options.task;
 
 	front->rules = rule_set_new(0);
-	front->pool = target_pool_new(task, POOL_CAPACITY);
+	front->pool = new_pool(front);
 	front->counters = request_counters_new();
 	front->log = new_log(front->options.settings);
 	front->budget.limit_bytes =
@@ -224,6 +235,22 @@
 	request_front_turn_soon(front);
 }
 
+/* Passes on what the holders of an idempotency key answered. */
+void request_front_claimed(struct request_front *front, uint64_t request_id,
+			   enum claim_result result)
+{
+	request_director_claimed(front->director, request_id, result,
+				 task_now_ms());
+	request_front_turn_soon(front);
+}
+
+/* Changes how much is logged. */
+void request_front_set_log(struct request_front *front,
+			   const struct log_settings_message *settings)
+{
+	log_settings_message_apply(settings, front->log);
+}
+
 /*
  * Closes the listening addresses and has every answer end its connection.
  * Connections close one step after they have gone idle, which leaves time for
--- a/daemon/src/request_task.c
+++ b/daemon/src/request_task.c
@@ -2,6 +2,7 @@
 
 #include "request_front.h"
 
+#include <daemon/claim_reply_message.h>
 #include <daemon/drain_message.h>
 #include <daemon/metrics_message.h>
 #include <daemon/nodes_message.h>
@@ -12,7 +13,7 @@
 
 struct request_task {
 	struct task *task;
-	const struct settings *settings;
+	struct request_task_options options;
 	struct request_front *front;
 	/* Whoever waits for the end of the drain. */
 	struct task *drain_reply_to;
@@ -33,7 +34,8 @@
 	struct request_task *requests = context;
 	struct request_front_options options = {
 		.task = task,
-		.settings = requests->settings,
+		.settings = requests->options.settings,
+		.claims = requests->options.claims,
 		.context = requests,
 		.drained = on_drained,
 	};
@@ -77,6 +79,23 @@
 			       request_front_counters(requests->front));
 }
 
+static void on_claim_reply(struct request_task *requests,
+			   struct message *message)
+{
+	const struct claim_reply_message *reply =
+		(struct claim_reply_message *)message;
+
+	request_front_claimed(requests->front, reply->request_id,
+			      reply->result);
+}
+
+static void on_log_settings(struct request_task *requests,
+			    struct message *message)
+{
+	request_front_set_log(requests->front,
+			      (struct log_settings_message *)message);
+}
+
 static void on_drain(struct request_task *requests, struct message *message)
 {
 	requests->drain_reply_to = ((struct drain_message *)message)->reply_to;
@@ -92,6 +111,8 @@
 	{&nodes_message_type, on_nodes},
 	{&target_state_message_type, on_target_state},
 	{&metrics_request_type, on_metrics},
+	{&claim_reply_message_type, on_claim_reply},
+	{&log_settings_message_type, on_log_settings},
 	{&drain_message_type, on_drain},
 };
 
@@ -113,14 +134,14 @@
 }
 
 /*
- * Makes the request front end. The settings must outlive it; the caller frees
- * it with request_task_free. Fails with TASK_ERROR_RESOURCE.
+ * Makes the request front end. Settings and claims task must outlive it; the
+ * caller frees it with request_task_free. Fails with TASK_ERROR_RESOURCE.
  */
-struct request_task *request_task_new(const struct settings *settings,
-				      GError **error)
+struct request_task *
+request_task_new(const struct request_task_options *options, GError **error)
 {
 	struct request_task *requests = g_new0(struct request_task, 1);
-	struct task_options options = {
+	struct task_options task_options = {
 		.name = "requests",
 		.mailbox_capacity = MAILBOX_CAPACITY,
 		.context = requests,
@@ -129,8 +150,8 @@
 		.stop = stop,
 	};
 
-	requests->settings = settings;
-	requests->task = task_new(&options, error);
+	requests->options = *options;
+	requests->task = task_new(&task_options, error);
 	if (requests->task)
 		return requests;
 	request_task_free(requests);
--- a/daemon/src/settings.c
+++ b/daemon/src/settings.c
@@ -210,6 +210,23 @@
 	return NULL;
 }
 
+/*
+ * Returns the section of the first setting that differs and that a running
+ * node cannot take over, or NULL when there is none.
+ */
+const char *settings_restart_reason(const struct settings *running,
+				    const struct settings *read)
+{
+	for (size_t i = 0; i < settings_row_count; i++) {
+		const struct setting_row *row = &settings_rows[i];
+
+		if (strcmp(row->section, "log") != 0 &&
+		    !settings_is_same(running, read, row))
+			return row->section;
+	}
+	return NULL;
+}
+
 /* Frees settings; NULL is allowed. */
 void settings_free(struct settings *settings)
 {
--- a/daemon/src/settings_schema.c
+++ b/daemon/src/settings_schema.c
@@ -151,6 +151,45 @@
 	return false;
 }
 
+static bool is_same_listens(const struct request_settings *a,
+			    const struct request_settings *b)
+{
+	if (a->service_listen_count != b->service_listen_count)
+		return false;
+	for (uint32_t i = 0; i < a->service_listen_count; i++) {
+		if (strcmp(a->service_listens[i].name,
+			   b->service_listens[i].name) != 0 ||
+		    !endpoint_equal(&a->service_listens[i].endpoint,
+				    &b->service_listens[i].endpoint))
+			return false;
+	}
+	return true;
+}
+
+/* Tells whether two settings agree on what a row stores. */
+bool settings_is_same(const struct settings *a, const struct settings *b,
+		      const struct setting_row *row)
+{
+	const void *left = (const char *)a + row->offset;
+	const void *right = (const char *)b + row->offset;
+
+	switch (row->kind) {
+	case SETTING_TEXT:
+		return g_strcmp0(*(char *const *)left, *(char *const *)right) ==
+		       0;
+	case SETTING_ENDPOINT:
+		return endpoint_equal(left, right);
+	case SETTING_LEVEL:
+	case SETTING_U32:
+		return *(const uint32_t *)left == *(const uint32_t *)right;
+	case SETTING_U64:
+		return *(const uint64_t *)left == *(const uint64_t *)right;
+	case SETTING_SERVICE_LISTEN:
+		return is_same_listens(left, right);
+	}
+	return false;
+}
+
 /* Says in a few words which values the row allows. */
 void settings_describe(const struct setting_row *row, char *text,
 		       size_t text_bytes)
--- a/daemon/src/settings_schema.h
+++ b/daemon/src/settings_schema.h
@@ -33,6 +33,8 @@
 
 bool settings_assign(struct settings *settings, const struct setting_row *row,
 		     const char *key, const char *value);
+bool settings_is_same(const struct settings *a, const struct settings *b,
+		      const struct setting_row *row);
 void settings_describe(const struct setting_row *row, char *text,
 		       size_t text_bytes);
 
--- a/daemon/src/shallotd.c
+++ b/daemon/src/shallotd.c
@@ -1,6 +1,8 @@
 #include <daemon/shallotd.h>
 
 #include <daemon/admin_task.h>
+#include <daemon/drain_task.h>
+#include <daemon/log_settings_message.h>
 #include <daemon/packet_task.h>
 #include <daemon/ready_message.h>
 #include <daemon/request_task.h>
@@ -14,6 +16,7 @@
 	struct packet_task *packets;
 	struct request_task *requests;
 	struct admin_task *admin;
+	struct drain_task *drain;
 	struct task *work_tasks[WORK_TASK_COUNT];
 };
 
@@ -24,11 +27,14 @@
 		.sources = daemon->work_tasks,
 		.source_count = WORK_TASK_COUNT,
 	};
+	struct request_task_options request_options = {
+		.settings = daemon->settings,
+	};
 
 	daemon->packets = packet_task_new(daemon->settings, error);
 	if (!daemon->packets)
 		return false;
-	daemon->requests = request_task_new(daemon->settings, error);
+	daemon->requests = request_task_new(&request_options, error);
 	if (!daemon->requests)
 		return false;
 	daemon->work_tasks[0] = packet_task_task(daemon->packets);
@@ -92,11 +98,37 @@
 	admin_task_free(daemon->admin);
 	request_task_free(daemon->requests);
 	packet_task_free(daemon->packets);
+	drain_task_free(daemon->drain);
 	g_free(daemon);
 }
 
-/* Announces that this node takes no new work. */
-void shallotd_drain(struct shallotd *daemon)
+/*
+ * Announces that this node takes no new work and has the tasks finish or hand
+ * over what they have. Fails with TASK_ERROR_RESOURCE; done never runs then.
+ */
+bool shallotd_drain(struct shallotd *daemon,
+		    const struct shallotd_drain_options *options,
+		    GError **error)
 {
+	struct drain_task_options drain_options = {
+		.tasks = daemon->work_tasks,
+		.task_count = WORK_TASK_COUNT,
+		.timeout_ms = daemon->settings->drain_timeout_ms,
+		.context = options->context,
+		.done = options->done,
+	};
+
 	post_or_free(admin_task_task(daemon->admin), ready_message_new(false));
+	daemon->drain = drain_task_new(&drain_options, error);
+	return daemon->drain != NULL;
+}
+
+/* Changes how much the tasks log. */
+void shallotd_set_log(struct shallotd *daemon, uint32_t level,
+		      uint32_t rate_per_s)
+{
+	for (uint32_t i = 0; i < WORK_TASK_COUNT; i++)
+		post_or_free(daemon->work_tasks[i],
+			     log_settings_message_new((enum log_level)level,
+						      rate_per_s));
 }
--- a/daemon/src/target_connection.c
+++ b/daemon/src/target_connection.c
@@ -27,19 +27,20 @@
 }
 
 /* Makes a connection that opens with its first request. */
-struct target_connection *target_connection_new(struct event_base *base,
-						uint64_t target_id,
-						const struct endpoint *endpoint)
+struct target_connection *
+target_connection_new(const struct target_connection_options *options)
 {
 	struct target_connection *connection =
 		g_new0(struct target_connection, 1);
 	char address[IP_ADDR_TEXT_BYTES];
 
-	ip_addr_format(&endpoint->addr, address);
-	connection->target_id = target_id;
-	connection->http =
-		evhttp_connection_base_new(base, NULL, address, endpoint->port);
+	ip_addr_format(&options->endpoint.addr, address);
+	connection->target_id = options->target_id;
+	connection->http = evhttp_connection_base_new(
+		options->base, NULL, address, options->endpoint.port);
 	evhttp_connection_set_timeout(connection->http, TIMEOUT_S);
+	evhttp_connection_set_max_headers_size(
+		connection->http, (ev_ssize_t)options->header_bytes);
 	connection->stream =
 		evhttp_connection_get_bufferevent(connection->http);
 	bufferevent_setwatermark(connection->stream, EV_READ, 0,
--- a/daemon/src/target_connection.h
+++ b/daemon/src/target_connection.h
@@ -9,9 +9,15 @@
 /* A connection to a target; it carries one request at a time. */
 struct target_connection;
 
+struct target_connection_options {
+	struct event_base *base;
+	uint64_t target_id;
+	struct endpoint endpoint;
+	uint32_t header_bytes;
+};
+
 struct target_connection *
-target_connection_new(struct event_base *base, uint64_t target_id,
-		      const struct endpoint *endpoint);
+target_connection_new(const struct target_connection_options *options);
 void target_connection_free(struct target_connection *connection);
 uint64_t
 target_connection_target_id(const struct target_connection *connection);
--- a/daemon/src/target_pool.c
+++ b/daemon/src/target_pool.c
@@ -1,8 +1,7 @@
 #include "target_pool.h"
 
 struct target_pool {
-	struct task *task;
-	uint32_t capacity;
+	struct target_pool_options options;
 	/* Kept connections, the most recently used first. */
 	GQueue kept;
 };
@@ -15,13 +14,12 @@
 		target_connection_free(connection);
 }
 
-/* Makes a pool that keeps at most capacity connections. */
-struct target_pool *target_pool_new(struct task *task, uint32_t capacity)
+/* Makes an empty pool; the caller frees it with target_pool_free. */
+struct target_pool *target_pool_new(const struct target_pool_options *options)
 {
 	struct target_pool *pool = g_new0(struct target_pool, 1);
 
-	pool->task = task;
-	pool->capacity = capacity;
+	pool->options = *options;
 	g_queue_init(&pool->kept);
 	return pool;
 }
@@ -65,12 +63,17 @@
 					   bool is_fresh)
 {
 	struct target_connection *connection = NULL;
+	struct target_connection_options options = {
+		.base = task_base(pool->options.task),
+		.target_id = target_id,
+		.endpoint = *endpoint,
+		.header_bytes = pool->options.header_bytes,
+	};
 
 	if (!is_fresh)
 		connection = take_kept(pool, target_id);
 	if (!connection)
-		connection = target_connection_new(task_base(pool->task),
-						   target_id, endpoint);
+		connection = target_connection_new(&options);
 	target_connection_restart(connection);
 	return connection;
 }
@@ -87,6 +90,6 @@
 		return;
 	}
 	g_queue_push_head(&pool->kept, connection);
-	if (pool->kept.length > pool->capacity)
+	if (pool->kept.length > pool->options.capacity)
 		target_connection_free(g_queue_pop_tail(&pool->kept));
 }
--- /dev/null
+++ b/daemon/test/caller_input_test.c
@@ -0,0 +1,320 @@
+/* What callers send that is wrong, too large, too slow or too much. */
+#include "node_fixture.h"
+#include "raw_caller.h"
+
+#include <fakes/script_target.h>
+#include <fakes/test_main.h>
+
+#define NO_STATUS 0
+#define LIMIT_SETTINGS                                                         \
+	"log: {level: error}\n"                                                \
+	"requests: {header_bytes: 2048, body_bytes: 4096, "                    \
+	"buffered_bytes: 65536, connection_limit: 20, idle_timeout_ms: 400, "  \
+	"read_timeout_ms: 400, stall_timeout_ms: 400}\n"
+
+#define GOOD "GET /x HTTP/1.1\r\nHost: s\r\n\r\n"
+#define HEAD_OF(method) method " /x HTTP/1.1\r\nHost: s\r\n"
+
+static const struct script_step scripts[][SCRIPT_STEP_COUNT_MAX] = {
+	{{SCRIPT_RUN, NULL, 0},
+	 {SCRIPT_SEND, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", 0}},
+};
+
+/* Bytes of a caller, filler repeated behind them, and the answer's status. */
+static const struct row {
+	const char *name;
+	const char *text;
+	uint64_t filler_bytes;
+	const char *tail;
+	int64_t status;
+	uint64_t run_count;
+} rows[] = {
+	{"good", GOOD, 0, "", 200, 1},
+	{"garbage", "\x01\x02\x03 garbage\r\n\r\n", 0, "", 400, 0},
+	{"no-version", "GET /x\r\n\r\n", 0, "", 400, 0},
+	{"unknown-method", "BREW /x HTTP/1.1\r\nHost: s\r\n\r\n", 0, "", 501,
+	 0},
+	{"unknown-service", "GET /x HTTP/1.1\r\nHost: other\r\n\r\n", 0, "",
+	 421, 0},
+	{"no-host", "GET /x HTTP/1.1\r\n\r\n", 0, "", 421, 0},
+	{"packet-service", "GET /x HTTP/1.1\r\nHost: t\r\n\r\n", 0, "", 421, 0},
+	{"host-with-port", "GET /x HTTP/1.1\r\nHost: s:80\r\n\r\n", 0, "", 200,
+	 1},
+	{"bad-header-name", HEAD_OF("GET") "a b: c\r\n\r\n", 0, "", 400, 0},
+	{"no-colon", HEAD_OF("GET") "nonsense\r\n\r\n", 0, "", 400, 0},
+	{"large-header", HEAD_OF("GET") "A: ", 8192, "\r\n\r\n", 400, 0},
+	{"endless-line", "GET /", 8192, "", 400, 0},
+	{"body", HEAD_OF("POST") "Content-Length: 1000\r\n\r\n", 1000, "", 200,
+	 1},
+	{"large-body", HEAD_OF("POST") "Content-Length: 9000\r\n\r\n", 9000, "",
+	 413, 0},
+	{"chunked-body", HEAD_OF("POST") "Transfer-Encoding: chunked\r\n\r\n",
+	 0, "4\r\nbody\r\n0\r\n\r\n", 200, 1},
+	{"large-chunk",
+	 HEAD_OF("POST") "Transfer-Encoding: chunked\r\n\r\n2328\r\n", 9000,
+	 "\r\n0\r\n\r\n", 413, 0},
+	{"bad-chunk",
+	 HEAD_OF("POST") "Transfer-Encoding: chunked\r\n\r\nzz\r\n", 0, "", 413,
+	 0},
+	{"two-lengths",
+	 HEAD_OF("POST") "Content-Length: 4\r\nContent-Length: 2\r\n\r\nbody",
+	 0, "", 400, 0},
+	{"length-and-chunks",
+	 HEAD_OF("POST") "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"
+			 "\r\n0\r\n\r\n",
+	 0, "", 400, 0},
+	{"other-coding",
+	 HEAD_OF("POST") "Content-Length: 4\r\nTransfer-Encoding: gzip\r\n\r\n"
+			 "body",
+	 0, "", 400, 0},
+	{"negative-length", HEAD_OF("POST") "Content-Length: -4\r\n\r\n", 0, "",
+	 400, 0},
+	{"body-of-get", HEAD_OF("GET") "Content-Length: 4\r\n\r\nbody", 0, "",
+	 400, 0},
+	{"bad-deadline", HEAD_OF("GET") "Shallot-Deadline-Ms: soon\r\n\r\n", 0,
+	 "", 400, 0},
+	{"deadline-over", HEAD_OF("GET") "Shallot-Deadline-Ms: 0\r\n\r\n", 0,
+	 "", 503, 0},
+	{"key-without-holders",
+	 HEAD_OF("POST") "Idempotency-Key: 1\r\nContent-Length: 0\r\n\r\n", 0,
+	 "", 504, 0},
+	{"slow-header", "GET /x HTTP/1.1\r\nHo", 0, "", NO_STATUS, 0},
+	{"slow-body", HEAD_OF("POST") "Content-Length: 4\r\n\r\nbo", 0, "",
+	 NO_STATUS, 0},
+	{"silent", "", 0, "", NO_STATUS, 0},
+};
+
+struct fixture {
+	struct script_target *target;
+	struct node_fixture node;
+};
+
+static void setup(struct fixture *fixture, const char *more_settings)
+{
+	struct script_target_options options = {
+		.scripts = scripts,
+		.script_count = 1,
+	};
+	char text[ENDPOINT_TEXT_BYTES];
+	struct endpoint endpoint;
+	GError *error = NULL;
+	char *rules;
+
+	endpoint_parse(&options.listen, "127.0.0.1:1");
+	options.listen.port = 0;
+	fixture->target = script_target_new(&options, &error);
+	ck_assert_msg(!error, "%s", error ? error->message : "");
+	endpoint = script_target_endpoint(fixture->target);
+	endpoint_format(&endpoint, text);
+	rules = g_strdup_printf(
+		"s address=10.0.0.1:80 pool=%s protocol=http # asked by Lin\n"
+		"t address=10.0.0.2:80 pool=%s protocol=tcp # asked by Lin\n",
+		text, text);
+	node_fixture_start(&fixture->node, rules, more_settings);
+	g_free(rules);
+}
+
+static void teardown(struct fixture *fixture)
+{
+	node_fixture_stop(&fixture->node);
+	script_target_free(fixture->target);
+}
+
+static uint16_t port_of(const struct fixture *fixture)
+{
+	return fixture->node.settings->listen_requests.port;
+}
+
+static int ask(struct raw_caller *caller, const char *text)
+{
+	struct raw_answer answer;
+
+	raw_caller_send(caller, text, strlen(text));
+	raw_caller_read(caller, true, &answer);
+	g_free(answer.head);
+	return answer.status;
+}
+
+/* Asks on a connection of its own; the node must still answer. */
+static void check_alive(const struct fixture *fixture)
+{
+	struct raw_caller caller;
+
+	raw_caller_open(&caller, port_of(fixture));
+	ck_assert_int_eq(ask(&caller, GOOD), 200);
+	raw_caller_close(&caller);
+}
+
+START_TEST(test_input)
+{
+	const struct row *row = &rows[_i];
+	char *filler = g_strnfill(row->filler_bytes, 'a');
+	char *text = g_strconcat(row->text, filler, row->tail, NULL);
+	struct raw_caller caller;
+	struct fixture fixture;
+
+	test_row("caller_input", row->name);
+	setup(&fixture, LIMIT_SETTINGS);
+	raw_caller_open(&caller, port_of(&fixture));
+	ck_assert_int_eq(ask(&caller, text), row->status);
+	ck_assert_uint_eq(script_target_run_count(fixture.target),
+			  row->run_count);
+	raw_caller_close(&caller);
+	check_alive(&fixture);
+	teardown(&fixture);
+	g_free(filler);
+	g_free(text);
+}
+END_TEST
+
+/* Two requests in one segment get their answers in order. */
+START_TEST(test_pipeline)
+{
+	struct raw_caller caller;
+	struct raw_answer answer;
+	struct fixture fixture;
+
+	test_row("caller_input", "pipeline");
+	setup(&fixture, LIMIT_SETTINGS);
+	raw_caller_open(&caller, port_of(&fixture));
+	raw_caller_send(&caller, GOOD GOOD, strlen(GOOD GOOD));
+	for (int i = 0; i < 2; i++) {
+		raw_caller_read(&caller, true, &answer);
+		ck_assert_int_eq(answer.status, 200);
+		g_free(answer.head);
+	}
+	raw_caller_close(&caller);
+	teardown(&fixture);
+}
+END_TEST
+
+#define CROWD_COUNT 40
+
+/* Callers that take every connection are closed in turn for being silent. */
+START_TEST(test_connection_limit)
+{
+	struct raw_caller crowd[CROWD_COUNT];
+	struct fixture fixture;
+
+	test_row("caller_input", "connection-limit");
+	setup(&fixture, LIMIT_SETTINGS);
+	for (int i = 0; i < CROWD_COUNT; i++)
+		raw_caller_open(&crowd[i], port_of(&fixture));
+	check_alive(&fixture);
+	for (int i = 0; i < CROWD_COUNT; i++)
+		raw_caller_close(&crowd[i]);
+	teardown(&fixture);
+}
+END_TEST
+
+#define HOLDER_COUNT 18
+#define HOLDER_BYTES 4000
+
+/* Unfinished bodies beyond the budget cost their callers the connection. */
+START_TEST(test_buffered_bytes)
+{
+	struct raw_caller holders[HOLDER_COUNT];
+	char *body = g_strnfill(HOLDER_BYTES, 'a');
+	struct fixture fixture;
+	int closed_count = 0;
+
+	test_row("caller_input", "buffered-bytes");
+	setup(&fixture, LIMIT_SETTINGS);
+	for (int i = 0; i < HOLDER_COUNT; i++) {
+		raw_caller_open(&holders[i], port_of(&fixture));
+		raw_caller_send(&holders[i], HEAD_OF("POST"),
+				strlen(HEAD_OF("POST")));
+		raw_caller_send(&holders[i], "Content-Length: 4096\r\n\r\n",
+				strlen("Content-Length: 4096\r\n\r\n"));
+		raw_caller_send(&holders[i], body, HOLDER_BYTES);
+	}
+	for (int i = 0; i < HOLDER_COUNT; i++) {
+		if (!raw_caller_fill(&holders[i]))
+			closed_count++;
+		raw_caller_close(&holders[i]);
+	}
+	ck_assert_int_eq(closed_count, HOLDER_COUNT);
+	ck_assert_uint_eq(script_target_run_count(fixture.target), 0);
+	check_alive(&fixture);
+	teardown(&fixture);
+	g_free(body);
+}
+END_TEST
+
+#define MUTATION_SEED 20261204
+#define MUTATION_COUNT 400
+#define CHANGES_MAX 6
+
+static const char mutated_text[] =
+	"POST /blocks/7?x=1 HTTP/1.1\r\nHost: s\r\nContent-Length: 4\r\n"
+	"Shallot-Deadline-Ms: 900\r\nConnection: close\r\n\r\nbody";
+
+/* Changes, removes or doubles a few bytes. */
+static GString *mutate(GRand *rand)
+{
+	GString *text = g_string_new(mutated_text);
+	int change_count = g_rand_int_range(rand, 1, CHANGES_MAX);
+
+	for (int i = 0; i < change_count; i++) {
+		gssize at = g_rand_int_range(rand, 0, (gint32)text->len);
+
+		switch (g_rand_int_range(rand, 0, 3)) {
+		case 0:
+			text->str[at] = (char)g_rand_int_range(rand, 0, 256);
+			break;
+		case 1:
+			g_string_erase(text, at, 1);
+			break;
+		default:
+			g_string_insert_c(text, at, text->str[at]);
+			break;
+		}
+	}
+	return text;
+}
+
+/* Each gets one answer or a closed connection, and the node lives on. */
+START_TEST(test_mutations)
+{
+	GRand *rand = g_rand_new_with_seed(MUTATION_SEED);
+	struct fixture fixture;
+	struct raw_caller caller;
+	struct raw_answer answer;
+
+	test_row("caller_input", "mutations");
+	setup(&fixture,
+	      "log: {level: error}\n"
+	      "requests: {idle_timeout_ms: 20, read_timeout_ms: 20}\n");
+	for (int i = 0; i < MUTATION_COUNT; i++) {
+		GString *text = mutate(rand);
+
+		raw_caller_open(&caller, port_of(&fixture));
+		raw_caller_send(&caller, text->str, text->len);
+		raw_caller_read(&caller, false, &answer);
+		ck_assert(answer.status == 0 ||
+			  (answer.status >= 200 && answer.status < 600));
+		g_free(answer.head);
+		raw_caller_close(&caller);
+		g_string_free(text, TRUE);
+	}
+	check_alive(&fixture);
+	teardown(&fixture);
+	g_rand_free(rand);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("caller_input");
+	TCase *tcase = tcase_create("caller_input");
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(tcase, test_input, 0,
+			    sizeof(rows) / sizeof(rows[0]));
+	tcase_add_test(tcase, test_pipeline);
+	tcase_add_test(tcase, test_connection_limit);
+	tcase_add_test(tcase, test_buffered_bytes);
+	tcase_add_test(tcase, test_mutations);
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
--- a/daemon/test/path_test.c
+++ b/daemon/test/path_test.c
@@ -1,16 +1,11 @@
 /* One request and one packet travel from a caller through a node to a target.
  */
-#include <daemon/settings.h>
-#include <daemon/shallotd.h>
+#include "node_fixture.h"
+
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <fakes/fake_target.h>
 #include <fakes/test_main.h>
-#include <glib/gstdio.h>
-#include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
-#include <wire/sock_addr.h>
 
 #define WAIT_STEP_US 1000
 #define WAIT_STEP_COUNT 10000
@@ -22,96 +17,35 @@
 };
 
 struct fixture {
-	char *directory;
 	struct fake_target *target;
-	struct settings *settings;
-	struct shallotd *daemon;
+	struct node_fixture node;
 };
 
-static uint16_t free_port(int type)
-{
-	struct endpoint endpoint;
-	struct sockaddr_storage storage;
-	socklen_t length;
-	int fd = socket(AF_INET, type, 0);
-
-	endpoint_parse(&endpoint, "127.0.0.1:1");
-	endpoint.port = 0;
-	length = sock_addr_from_endpoint(&storage, &endpoint);
-	ck_assert_int_eq(bind(fd, (struct sockaddr *)&storage, length), 0);
-	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&storage, &length),
-			 0);
-	sock_addr_to_endpoint(&endpoint, &storage);
-	close(fd);
-	return endpoint.port;
-}
-
-static char *write_file(const char *directory, const char *name,
-			const char *text)
-{
-	char *path = g_build_filename(directory, name, NULL);
-
-	ck_assert(g_file_set_contents(path, text, -1, NULL));
-	return path;
-}
-
-static void write_settings(struct fixture *fixture)
-{
-	char endpoint[ENDPOINT_TEXT_BYTES];
-	struct endpoint target = fake_target_endpoint(fixture->target);
-	char *rules = g_strdup_printf(
-		"order-desk address=10.0.0.1:80 pool=%s protocol=http "
-		"# asked by Lin Yu-ting\n",
-		endpoint_format(&target, endpoint));
-	char *rules_path = write_file(fixture->directory, "rules", rules);
-	char *text = g_strdup_printf(
-		"node: {name: entry-1, zone: north-a, region: north}\n"
-		"listen:\n"
-		"  packets: 127.0.0.1:%u\n"
-		"  control: 127.0.0.1:%u\n"
-		"  requests: 127.0.0.1:%u\n"
-		"  admin: 127.0.0.1:%u\n"
-		"rules: {file: %s}\n",
-		free_port(SOCK_DGRAM), free_port(SOCK_DGRAM),
-		free_port(SOCK_STREAM), free_port(SOCK_STREAM), rules_path);
-	char *path = write_file(fixture->directory, "settings", text);
-	GError *error = NULL;
-
-	fixture->settings = settings_read(path, &error);
-	ck_assert_msg(!error, "%s", error ? error->message : "");
-	g_unlink(path);
-	g_free(path);
-	g_free(text);
-	g_free(rules_path);
-	g_free(rules);
-}
-
 static void setup(struct fixture *fixture)
 {
 	struct fake_target_options options = {.name = "target-1"};
+	char endpoint[ENDPOINT_TEXT_BYTES];
+	struct endpoint target;
 	GError *error = NULL;
+	char *rules;
 
 	endpoint_parse(&options.listen, "127.0.0.1:1");
 	options.listen.port = 0;
-	fixture->directory = g_dir_make_tmp("path_test_XXXXXX", NULL);
 	fixture->target = fake_target_new(&options, &error);
 	ck_assert_msg(!error, "%s", error ? error->message : "");
-	write_settings(fixture);
-	fixture->daemon = shallotd_new(fixture->settings, &error);
-	ck_assert_msg(!error, "%s", error ? error->message : "");
+	target = fake_target_endpoint(fixture->target);
+	rules = g_strdup_printf(
+		"order-desk address=10.0.0.1:80 pool=%s protocol=http "
+		"# asked by Lin Yu-ting\n",
+		endpoint_format(&target, endpoint));
+	node_fixture_start(&fixture->node, rules, "");
+	g_free(rules);
 }
 
 static void teardown(struct fixture *fixture)
 {
-	char *rules = g_build_filename(fixture->directory, "rules", NULL);
-
-	shallotd_free(fixture->daemon);
-	settings_free(fixture->settings);
+	node_fixture_stop(&fixture->node);
 	fake_target_free(fixture->target);
-	g_unlink(rules);
-	g_rmdir(fixture->directory);
-	g_free(rules);
-	g_free(fixture->directory);
 }
 
 struct answer {
@@ -144,7 +78,7 @@
 	answer->base = event_base_new();
 	connection = evhttp_connection_base_new(
 		answer->base, NULL, "127.0.0.1",
-		fixture->settings->listen_requests.port);
+		fixture->node.settings->listen_requests.port);
 	request = evhttp_request_new(on_answer, answer);
 	evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
 			  host);
@@ -195,7 +129,7 @@
 {
 	struct sockaddr_storage storage;
 	socklen_t length = sock_addr_from_endpoint(
-		&storage, &fixture->settings->listen_packets);
+		&storage, &fixture->node.settings->listen_packets);
 	int fd = socket(AF_INET, SOCK_DGRAM, 0);
 
 	ck_assert_int_eq(sendto(fd, syn, length_bytes, 0,
--- /dev/null
+++ b/fakes/include/fakes/script_target.h
@@ -0,0 +1,29 @@
+#ifndef FAKES_SCRIPT_TARGET_H
+#define FAKES_SCRIPT_TARGET_H
+
+#include <core/endpoint.h>
+#include <fakes/script_step.h>
+#include <glib.h>
+
+/*
+ * A stand-in back end that misbehaves as a row of a table says. Request n of
+ * the whole run follows script n; the last script serves all later ones.
+ */
+struct script_target;
+
+struct script_target_options {
+	struct endpoint listen;
+	const struct script_step (*scripts)[SCRIPT_STEP_COUNT_MAX];
+	uint32_t script_count;
+};
+
+struct script_target *
+script_target_new(const struct script_target_options *options, GError **error);
+void script_target_free(struct script_target *target);
+struct endpoint script_target_endpoint(const struct script_target *target);
+uint64_t script_target_run_count(const struct script_target *target);
+uint64_t script_target_request_count(const struct script_target *target);
+uint64_t script_target_sent_bytes(const struct script_target *target);
+char *script_target_last_head(struct script_target *target);
+
+#endif
--- /dev/null
+++ b/fakes/src/script_connection.h
@@ -0,0 +1,27 @@
+#ifndef SCRIPT_CONNECTION_H
+#define SCRIPT_CONNECTION_H
+
+#include <event2/event.h>
+#include <fakes/script_step.h>
+#include <stdbool.h>
+
+/* One connection to a misbehaving target. */
+struct script_connection;
+
+/* next_script runs once a request and gets the request's head. */
+struct script_connection_options {
+	struct event_base *base;
+	evutil_socket_t fd;
+	void *context;
+	const struct script_step *(*next_script)(void *context,
+						 const char *head);
+	void (*ran)(void *context);
+	void (*sent)(void *context, uint64_t length_bytes);
+	void (*closed)(void *context, struct script_connection *connection);
+};
+
+struct script_connection *
+script_connection_new(const struct script_connection_options *options);
+void script_connection_free(struct script_connection *connection);
+
+#endif
--- a/task/include/task/log.h
+++ b/task/include/task/log.h
@@ -30,6 +30,7 @@
 void log_free(struct log *log);
 void log_write(struct log *log, enum log_level level, const char *event,
 	       const char *format, ...) __attribute__((format(printf, 4, 5)));
+void log_configure(struct log *log, enum log_level level, uint32_t rate_per_s);
 uint64_t log_left_out_count(const struct log *log);
 
 #endif
--- a/task/src/log.c
+++ b/task/src/log.c
@@ -116,6 +116,13 @@
 	emit(log, level, event, fields);
 }
 
+/* Changes level and rate; call it in the task that owns the log. */
+void log_configure(struct log *log, enum log_level level, uint32_t rate_per_s)
+{
+	log->options.level = level;
+	log->options.rate_per_s = rate_per_s;
+}
+
 /* Returns how many lines the rate limit has left out so far. */
 uint64_t log_left_out_count(const struct log *log)
 {
