--- a/daemon/test/caller_input_test.c
+++ b/daemon/test/caller_input_test.c
@@ -100,8 +100,6 @@
 	GError *error = NULL;
 	char *rules;
 
-	endpoint_parse(&options.listen, "127.0.0.1:1");
-	options.listen.port = 0;
 	fixture->target = script_target_new(&options, &error);
 	ck_assert_msg(!error, "%s", error ? error->message : "");
 	endpoint = script_target_endpoint(fixture->target);
@@ -120,9 +118,9 @@
 	script_target_free(fixture->target);
 }
 
-static uint16_t port_of(const struct fixture *fixture)
+static const struct endpoint *node_of(const struct fixture *fixture)
 {
-	return fixture->node.settings->listen_requests.port;
+	return &fixture->node.settings->listen_requests;
 }
 
 static int ask(struct raw_caller *caller, const char *text)
@@ -140,7 +138,7 @@
 {
 	struct raw_caller caller;
 
-	raw_caller_open(&caller, port_of(fixture));
+	raw_caller_open(&caller, node_of(fixture));
 	ck_assert_int_eq(ask(&caller, GOOD), 200);
 	raw_caller_close(&caller);
 }
@@ -155,7 +153,7 @@
 
 	test_row("caller_input", row->name);
 	setup(&fixture, LIMIT_SETTINGS);
-	raw_caller_open(&caller, port_of(&fixture));
+	raw_caller_open(&caller, node_of(&fixture));
 	ck_assert_int_eq(ask(&caller, text), row->status);
 	ck_assert_uint_eq(script_target_run_count(fixture.target),
 			  row->run_count);
@@ -176,7 +174,7 @@
 
 	test_row("caller_input", "pipeline");
 	setup(&fixture, LIMIT_SETTINGS);
-	raw_caller_open(&caller, port_of(&fixture));
+	raw_caller_open(&caller, node_of(&fixture));
 	raw_caller_send(&caller, GOOD GOOD, strlen(GOOD GOOD));
 	for (int i = 0; i < 2; i++) {
 		raw_caller_read(&caller, true, &answer);
@@ -199,7 +197,7 @@
 	test_row("caller_input", "connection-limit");
 	setup(&fixture, LIMIT_SETTINGS);
 	for (int i = 0; i < CROWD_COUNT; i++)
-		raw_caller_open(&crowd[i], port_of(&fixture));
+		raw_caller_open(&crowd[i], node_of(&fixture));
 	check_alive(&fixture);
 	for (int i = 0; i < CROWD_COUNT; i++)
 		raw_caller_close(&crowd[i]);
@@ -221,7 +219,7 @@
 	test_row("caller_input", "buffered-bytes");
 	setup(&fixture, LIMIT_SETTINGS);
 	for (int i = 0; i < HOLDER_COUNT; i++) {
-		raw_caller_open(&holders[i], port_of(&fixture));
+		raw_caller_open(&holders[i], node_of(&fixture));
 		raw_caller_send(&holders[i], HEAD_OF("POST"),
 				strlen(HEAD_OF("POST")));
 		raw_caller_send(&holders[i], "Content-Length: 4096\r\n\r\n",
@@ -288,7 +286,7 @@
 	for (int i = 0; i < MUTATION_COUNT; i++) {
 		GString *text = mutate(rand);
 
-		raw_caller_open(&caller, port_of(&fixture));
+		raw_caller_open(&caller, node_of(&fixture));
 		raw_caller_send(&caller, text->str, text->len);
 		raw_caller_read(&caller, false, &answer);
 		ck_assert(answer.status == 0 ||
--- a/daemon/test/node_fixture.h
+++ b/daemon/test/node_fixture.h
@@ -4,6 +4,7 @@
 #include <check.h>
 #include <daemon/settings.h>
 #include <daemon/shallotd.h>
+#include <fakes/loopback.h>
 #include <glib/gstdio.h>
 #include <signal.h>
 #include <sys/socket.h>
@@ -17,25 +18,6 @@
 	struct shallotd *daemon;
 };
 
-/* Returns a port that was free a moment ago. */
-static inline uint16_t free_port(int type)
-{
-	struct endpoint endpoint;
-	struct sockaddr_storage storage;
-	socklen_t length;
-	int fd = socket(AF_INET, type, 0);
-
-	endpoint_parse(&endpoint, "127.0.0.1:1");
-	endpoint.port = 0;
-	length = sock_addr_from_endpoint(&storage, &endpoint);
-	ck_assert_int_eq(bind(fd, (struct sockaddr *)&storage, length), 0);
-	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&storage, &length),
-			 0);
-	sock_addr_to_endpoint(&endpoint, &storage);
-	close(fd);
-	return endpoint.port;
-}
-
 static inline char *node_fixture_path(const struct node_fixture *fixture,
 				      const char *name)
 {
@@ -60,6 +42,28 @@
 	g_free(path);
 }
 
+static const char *const node_listen_keys[] = {"packets", "control", "requests",
+					       "admin"};
+
+static inline char *node_fixture_settings(const struct node_fixture *fixture,
+					  const char *more)
+{
+	GString *text = g_string_new(
+		"node: {name: entry-1, zone: north-a, region: north}\n"
+		"listen:\n");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(node_listen_keys); i++) {
+		struct endpoint endpoint = loopback_free_endpoint();
+		char address[ENDPOINT_TEXT_BYTES];
+
+		g_string_append_printf(text, "  %s: %s\n", node_listen_keys[i],
+				       endpoint_format(&endpoint, address));
+	}
+	g_string_append_printf(text, "rules: {file: %s/rules}\n%s",
+			       fixture->directory, more);
+	return g_string_free(text, FALSE);
+}
+
 /* Starts a node with the rules; more holds further sections of settings. */
 static inline void node_fixture_start(struct node_fixture *fixture,
 				      const char *rules, const char *more)
@@ -71,17 +75,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	fixture->directory = g_dir_make_tmp("node_XXXXXX", NULL);
 	node_fixture_write(fixture, "rules", rules);
-	text = g_strdup_printf(
-		"node: {name: entry-1, zone: north-a, region: north}\n"
-		"listen:\n"
-		"  packets: 127.0.0.1:%u\n"
-		"  control: 127.0.0.1:%u\n"
-		"  requests: 127.0.0.1:%u\n"
-		"  admin: 127.0.0.1:%u\n"
-		"rules: {file: %s/rules}\n%s",
-		free_port(SOCK_DGRAM), free_port(SOCK_DGRAM),
-		free_port(SOCK_STREAM), free_port(SOCK_STREAM),
-		fixture->directory, more);
+	text = node_fixture_settings(fixture, more);
 	node_fixture_write(fixture, "settings", text);
 	g_free(text);
 	path = node_fixture_path(fixture, "settings");
--- a/daemon/test/path_test.c
+++ b/daemon/test/path_test.c
@@ -29,8 +29,6 @@
 	GError *error = NULL;
 	char *rules;
 
-	endpoint_parse(&options.listen, "127.0.0.1:1");
-	options.listen.port = 0;
 	fixture->target = fake_target_new(&options, &error);
 	ck_assert_msg(!error, "%s", error ? error->message : "");
 	target = fake_target_endpoint(fixture->target);
@@ -74,10 +72,12 @@
 {
 	struct evhttp_connection *connection;
 	struct evhttp_request *request;
+	char address[IP_ADDR_TEXT_BYTES];
 
 	answer->base = event_base_new();
+	ip_addr_format(&fixture->node.settings->listen_requests.addr, address);
 	connection = evhttp_connection_base_new(
-		answer->base, NULL, "127.0.0.1",
+		answer->base, NULL, address,
 		fixture->node.settings->listen_requests.port);
 	request = evhttp_request_new(on_answer, answer);
 	evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
--- a/daemon/test/raw_caller.h
+++ b/daemon/test/raw_caller.h
@@ -30,16 +30,13 @@
 	bool is_whole;
 };
 
-static inline void raw_caller_open(struct raw_caller *caller, uint16_t port)
+static inline void raw_caller_open(struct raw_caller *caller,
+				   const struct endpoint *node)
 {
 	struct timeval timeout = {.tv_sec = RAW_TIMEOUT_S};
 	struct sockaddr_storage storage;
-	struct endpoint endpoint;
-	socklen_t length;
+	socklen_t length = sock_addr_from_endpoint(&storage, node);
 
-	endpoint_parse(&endpoint, "127.0.0.1:1");
-	endpoint.port = port;
-	length = sock_addr_from_endpoint(&storage, &endpoint);
 	memset(caller, 0, sizeof(*caller));
 	caller->input = g_string_new(NULL);
 	caller->fd = socket(AF_INET, SOCK_STREAM, 0);
--- a/daemon/test/target_faults_test.c
+++ b/daemon/test/target_faults_test.c
@@ -462,8 +462,6 @@
 	GError *error = NULL;
 	char *rules;
 
-	endpoint_parse(&options.listen, "127.0.0.1:1");
-	options.listen.port = 0;
 	fixture->target = script_target_new(&options, &error);
 	ck_assert_msg(!error, "%s", error ? error->message : "");
 	endpoint = script_target_endpoint(fixture->target);
@@ -472,7 +470,7 @@
 				endpoint_format(&endpoint, text));
 	node_fixture_start(&fixture->node, rules, more_settings);
 	raw_caller_open(&fixture->caller,
-			fixture->node.settings->listen_requests.port);
+			&fixture->node.settings->listen_requests);
 	g_free(rules);
 }
 
--- a/fakes/include/fakes/script_target.h
+++ b/fakes/include/fakes/script_target.h
@@ -12,7 +12,6 @@
 struct script_target;
 
 struct script_target_options {
-	struct endpoint listen;
 	const struct script_step (*scripts)[SCRIPT_STEP_COUNT_MAX];
 	uint32_t script_count;
 };
--- a/fakes/src/script_target.c
+++ b/fakes/src/script_target.c
@@ -4,6 +4,7 @@
 
 #include <errno.h>
 #include <event2/listener.h>
+#include <fakes/loopback.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
@@ -93,19 +94,13 @@
 static bool listen_on(struct script_target *target)
 {
 	struct sockaddr_storage storage;
-	socklen_t length =
-		sock_addr_from_endpoint(&storage, &target->options.listen);
+	socklen_t length = sock_addr_from_endpoint(&storage, &target->endpoint);
 
 	target->listener = evconnlistener_new_bind(
 		task_base(target->task), on_accept, target,
 		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, BACKLOG,
 		(struct sockaddr *)&storage, (int)length);
-	if (!target->listener)
-		return false;
-	length = sizeof(storage);
-	return getsockname(evconnlistener_get_fd(target->listener),
-			   (struct sockaddr *)&storage, &length) == 0 &&
-	       sock_addr_to_endpoint(&target->endpoint, &storage);
+	return target->listener != NULL;
 }
 
 static bool start(void *context, struct task *task, GError **error)
@@ -143,8 +138,9 @@
 }
 
 /*
- * Starts a target; port 0 takes any free one. The scripts must outlive it; the
- * caller frees it with script_target_free. Fails with TASK_ERROR.
+ * Starts a target on a port of this process's own loopback address. The
+ * scripts must outlive it; the caller frees it with script_target_free. Fails
+ * with TASK_ERROR.
  */
 struct script_target *
 script_target_new(const struct script_target_options *options, GError **error)
@@ -160,6 +156,7 @@
 	};
 
 	target->options = *options;
+	target->endpoint = loopback_free_endpoint();
 	target->connections = g_hash_table_new(NULL, NULL);
 	g_queue_init(&target->closed);
 	pthread_mutex_init(&target->lock, NULL);
