Place flows by homes with exceptions, handover and mirrors

Cause: the packet path ranked targets afresh for each packet, so every change of a pool or of the nodes cut flows.

Change: flow_director with a compact flow table, pools by generation, homes by rendezvous over 16384 slots, exceptions (records that another node could not work out) mirrored in another zone and handed over to the next home, packed and resent within a byte budget. A slot that changes homes carries the revision whose pools its silent flows follow, so that a later generation does not cut flows that the new home has not seen. Rule gains a generation; target states gain gone, for an address that leads elsewhere.

A node that joined gave flows to a leaving target until it learned of it; the handover tells it now.

Ruled out: Maglev tables, as a table a service and a generation costs more memory than direct weighted rendezvous costs time at a dozen targets, and moves more flows than need be; replicating every flow, by its bytes; waiting for all nodes to hold a generation before it is used, as the store may be down.

--- /dev/null
+++ b/core/include/core/flow_message.h
@@ -0,0 +1,67 @@
+#ifndef CORE_FLOW_MESSAGE_H
+#define CORE_FLOW_MESSAGE_H
+
+#include <core/target.h>
+#include <stdbool.h>
+
+#define FLOW_MESSAGE_TARGETS_MAX 32
+#define FLOW_MESSAGE_ENTRIES_MAX 100
+#define FLOW_MESSAGE_SLOTS_MAX 400
+#define FLOW_MESSAGE_VERSION 1
+
+/*
+ * FLOW_MIRROR: copies of exceptions whose home is the sender. FLOW_HANDOVER:
+ * exceptions that the receiver is home of from now on. FLOW_POOL: the targets
+ * of one service at one generation, or some of them. FLOW_TARGETS: targets that
+ * take no new flows. FLOW_DONE: all exceptions of these slots were sent; other
+ * flows follow the pools of base_revision. FLOW_ACK: the message with this
+ * sequence number was taken.
+ */
+enum flow_message_kind {
+	FLOW_MIRROR,
+	FLOW_HANDOVER,
+	FLOW_POOL,
+	FLOW_TARGETS,
+	FLOW_DONE,
+	FLOW_ACK,
+	FLOW_MESSAGE_KIND_COUNT,
+};
+
+/* A flow, by the lower half of its print, and an index into the targets. */
+struct flow_entry {
+	uint64_t print_low;
+	uint8_t target_index;
+};
+
+/*
+ * One message between the flow directors of two nodes. Which fields count
+ * depends on the kind; the rest are zero. Every kind is idempotent.
+ */
+struct flow_message {
+	enum flow_message_kind kind;
+	uint32_t sequence;
+	/* Of FLOW_ACK: bit n stands for the number n + 1 before sequence. */
+	uint32_t ack_mask;
+	/* The sender's configuration revision. */
+	uint64_t revision;
+	uint64_t base_revision;
+	uint32_t base_remaining_ms;
+	/* Of FLOW_POOL. */
+	uint32_t service_id;
+	uint64_t generation;
+	/* Targets in the whole pool; a large one takes several messages. */
+	uint32_t pool_count;
+	uint32_t target_count;
+	struct target targets[FLOW_MESSAGE_TARGETS_MAX];
+	uint32_t entry_count;
+	struct flow_entry entries[FLOW_MESSAGE_ENTRIES_MAX];
+	uint32_t slot_count;
+	uint16_t slots[FLOW_MESSAGE_SLOTS_MAX];
+};
+
+uint32_t flow_message_size_bytes(const struct flow_message *message);
+bool flow_message_add(struct flow_message *message, uint64_t print_low,
+		      const struct target *target);
+bool flow_message_is_valid(const struct flow_message *message);
+
+#endif
--- /dev/null
+++ b/core/include/core/flow_table.h
@@ -0,0 +1,40 @@
+#ifndef CORE_FLOW_TABLE_H
+#define CORE_FLOW_TABLE_H
+
+#include <core/flow_record.h>
+
+/* The flows that one node holds a record of, at most a fixed number. */
+struct flow_table;
+
+enum sweep_step {
+	SWEEP_KEEP,
+	SWEEP_REMOVE,
+	/* Leave this record for the next sweep and end this one. */
+	SWEEP_STOP,
+};
+
+struct flow_table *flow_table_new(uint32_t capacity);
+void flow_table_free(struct flow_table *table);
+void flow_table_clear(struct flow_table *table);
+uint32_t flow_table_count(const struct flow_table *table);
+uint32_t flow_table_embryonic_count(const struct flow_table *table);
+uint32_t flow_table_bucket_count(const struct flow_table *table);
+uint64_t flow_table_size_bytes(const struct flow_table *table);
+bool flow_table_may_open(const struct flow_table *table);
+struct flow_record *flow_table_find(struct flow_table *table,
+				    struct flow_print print);
+struct flow_record *flow_table_find_low(struct flow_table *table,
+					uint64_t print_low);
+struct flow_record *flow_table_insert(struct flow_table *table,
+				      struct flow_print print,
+				      enum flow_state state, int64_t now_ms);
+void flow_table_touch(struct flow_table *table, struct flow_record *record,
+		      enum flow_state state, int64_t now_ms);
+bool flow_table_is_idle(const struct flow_record *record, int64_t now_ms);
+uint32_t flow_table_sweep(struct flow_table *table, uint32_t bucket_count,
+			  void *context,
+			  enum sweep_step (*visit)(void *context,
+						   struct flow_record *record));
+uint32_t flow_state_timeout_ms(enum flow_state state);
+
+#endif
--- a/core/include/core/rule.h
+++ b/core/include/core/rule.h
@@ -10,6 +10,8 @@
  */
 struct rule {
 	struct service service;
+	/* The revision at which the line last changed; 0 when not known. */
+	uint64_t generation;
 	uint32_t address_count;
 	struct endpoint *addresses;
 	uint32_t target_count;
--- a/core/include/core/target.h
+++ b/core/include/core/target.h
@@ -11,6 +11,8 @@
 	TARGET_LEAVING,
 	TARGET_FAILING,
 	TARGET_CUT_OFF,
+	/* Its address no longer leads to this target; nothing goes there. */
+	TARGET_GONE,
 	TARGET_STATE_COUNT,
 };
 
--- /dev/null
+++ b/core/src/flow_director.c
@@ -0,0 +1,335 @@
+#include "flow_director_state.h"
+
+#define PAUSE_LIMIT_MS 3000
+#define LEAVE_GRACE_MS 5000
+#define CHECK_INTERVAL_MS 1000
+#define PENDING_LIMIT_MS (60 * 1000)
+
+static void free_histories(struct flow_director *director)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, director->histories);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		pool_history_free(value, director->book);
+	g_hash_table_destroy(director->histories);
+}
+
+static struct flow_outbox *make_outbox(struct flow_director *director)
+{
+	struct flow_outbox_options options = {
+		.bytes_per_s = director->options.control_bytes_per_s,
+		.context = director->options.effects.context,
+		.send = director->options.effects.send,
+		.ack_context = director,
+		.acked = flow_director_acked,
+	};
+
+	return flow_outbox_new(&options);
+}
+
+/*
+ * Makes a director with no rules and no nodes, which drops everything. The
+ * context of the effects must outlive it; the caller frees it with
+ * flow_director_free and calls flow_director_tick several times a second.
+ */
+struct flow_director *
+flow_director_new(const struct flow_director_options *options)
+{
+	struct flow_director *director = g_new0(struct flow_director, 1);
+
+	director->options = *options;
+	director->table = flow_table_new(options->flow_capacity);
+	director->book = target_book_new();
+	director->histories = g_hash_table_new(g_direct_hash, g_direct_equal);
+	director->outbox = make_outbox(director);
+	director->slots = g_new0(struct director_slot, HOME_SLOT_COUNT);
+	for (uint32_t i = 0; i < HOME_SLOT_COUNT; i++)
+		director->slots[i].epoch = 1;
+	director->pool_targets =
+		g_array_new(FALSE, FALSE, sizeof(struct target));
+	return director;
+}
+
+/* Frees the director and its records; NULL is allowed. */
+void flow_director_free(struct flow_director *director)
+{
+	if (!director)
+		return;
+	free_histories(director);
+	flow_outbox_free(director->outbox);
+	flow_table_free(director->table);
+	target_book_free(director->book);
+	rule_set_free(director->rules);
+	node_view_free(director->view);
+	home_map_free(director->homes);
+	g_array_free(director->pool_targets, TRUE);
+	g_free(director->slots);
+	g_free(director);
+}
+
+/* Finds the pools of a service, or NULL. */
+struct pool_history *flow_director_history(const struct flow_director *director,
+					   uint32_t service_id)
+{
+	return g_hash_table_lookup(director->histories,
+				   GUINT_TO_POINTER(service_id));
+}
+
+static struct pool_history *need_history(struct flow_director *director,
+					 uint32_t service_id)
+{
+	struct pool_history *history =
+		flow_director_history(director, service_id);
+
+	if (history)
+		return history;
+	history = pool_history_new(service_id);
+	g_hash_table_insert(director->histories, GUINT_TO_POINTER(service_id),
+			    history);
+	return history;
+}
+
+static void follow_rule(struct flow_director *director, const struct rule *rule,
+			int64_t now_ms)
+{
+	struct pool_history *history =
+		need_history(director, rule->service.service_id);
+	uint64_t generation =
+		rule->generation ? rule->generation : director->revision;
+
+	pool_history_add(history, director->book, generation, rule->targets,
+			 rule->target_count, now_ms);
+}
+
+static void forget_services(struct flow_director *director)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, director->histories);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool_history *history = value;
+
+		if (history->flow_count > 0 ||
+		    rule_set_by_id(director->rules, history->service_id))
+			continue;
+		pool_history_free(history, director->book);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+/*
+ * Follows the rules in force; the director keeps a copy. Rules older than
+ * those it has are ignored, so a late message reverts nothing. A flow keeps
+ * its target whatever becomes of the pool.
+ */
+void flow_director_set_rules(struct flow_director *director,
+			     const struct rule_set *rules, int64_t now_ms)
+{
+	if (director->rules && rule_set_revision(rules) < director->revision)
+		return;
+	rule_set_free(director->rules);
+	director->rules = rule_set_copy(rules);
+	director->revision = rule_set_revision(rules);
+	for (uint32_t i = 0; i < rule_set_count(director->rules); i++)
+		follow_rule(director, rule_set_at(director->rules, i), now_ms);
+	forget_services(director);
+	target_book_set_rules(director->book, director->rules);
+	flow_director_resend_pools(director, now_ms);
+	flow_director_start_pass(director);
+}
+
+/* Notes what is known of a target; one that no rule names is ignored. */
+void flow_director_set_target_state(struct flow_director *director,
+				    uint64_t target_id, enum target_state state,
+				    int64_t now_ms)
+{
+	uint16_t index = target_book_find(director->book, target_id);
+
+	if (index != TARGET_INDEX_NONE)
+		target_book_at(director->book, index)->target.state = state;
+}
+
+/* Counts a record as load of a target and remembers the target in it. */
+void flow_director_count(struct flow_director *director,
+			 struct flow_record *record, uint16_t target_index)
+{
+	struct known_target *known =
+		target_book_at(director->book, target_index);
+	struct pool_history *history =
+		flow_director_history(director, known->target.service_id);
+
+	record->target_index = target_index;
+	known->hold_count++;
+	if (record->is_mirror)
+		return;
+	known->flow_count++;
+	if (history)
+		history->flow_count++;
+}
+
+/* Takes back what flow_director_count did. */
+void flow_director_uncount(struct flow_director *director,
+			   const struct flow_record *record)
+{
+	struct known_target *known =
+		target_book_at(director->book, record->target_index);
+	struct pool_history *history =
+		flow_director_history(director, known->target.service_id);
+
+	known->hold_count--;
+	if (record->is_mirror)
+		return;
+	known->flow_count--;
+	if (history && history->flow_count > 0)
+		history->flow_count--;
+}
+
+static enum sweep_step forget(void *context, struct flow_record *record)
+{
+	flow_director_uncount(context, record);
+	return SWEEP_REMOVE;
+}
+
+/* Forgets every flow, as a node does that was declared dead. */
+void flow_director_forget_all(struct flow_director *director)
+{
+	flow_table_sweep(director->table,
+			 flow_table_bucket_count(director->table), director,
+			 forget);
+}
+
+/*
+ * A node that did not run for some seconds may have been declared dead, and
+ * others look after its flows now.
+ */
+void flow_director_notice_pause(struct flow_director *director, int64_t now_ms)
+{
+	bool has_paused = director->last_event_ms > 0 &&
+			  now_ms - director->last_event_ms > PAUSE_LIMIT_MS;
+
+	director->last_event_ms = now_ms;
+	if (has_paused && director->view && node_view_count(director->view) > 1)
+		director->is_stale = true;
+}
+
+/*
+ * Tells whether a node has learned what it must know before it serves: it has
+ * rules and a view, and no slot waits for another node's records.
+ */
+bool flow_director_is_ready(const struct flow_director *director)
+{
+	if (!director->rules || !director->view || director->is_stale)
+		return false;
+	for (uint32_t i = 0; i < HOME_SLOT_COUNT; i++) {
+		if (director->slots[i].pending_from != NODE_NONE)
+			return false;
+	}
+	return true;
+}
+
+/* Returns the number of flows that this node holds a record of. */
+uint32_t flow_director_flow_count(const struct flow_director *director)
+{
+	return flow_table_count(director->table);
+}
+
+/* Returns the memory that flows and slots take. */
+uint64_t flow_director_size_bytes(const struct flow_director *director)
+{
+	return flow_table_size_bytes(director->table) +
+	       HOME_SLOT_COUNT * (sizeof(struct director_slot) +
+				  sizeof(struct slot_homes));
+}
+
+/* Returns the bytes of messages sent to other nodes since the start. */
+uint64_t flow_director_sent_bytes(const struct flow_director *director)
+{
+	return flow_outbox_sent_bytes(director->outbox);
+}
+
+/*
+ * Tells whether a leaving node may stop: every slot was taken over and the
+ * others have had time to learn that it leaves.
+ */
+bool flow_director_may_stop(const struct flow_director *director)
+{
+	return director->may_stop;
+}
+
+static void check_pending(struct flow_director *director, int64_t now_ms)
+{
+	for (uint32_t i = 0; i < HOME_SLOT_COUNT; i++) {
+		struct director_slot *slot = &director->slots[i];
+
+		if (slot->pending_from != NODE_NONE &&
+		    now_ms - slot->pending_since_ms > PENDING_LIMIT_MS)
+			slot->pending_from = NODE_NONE;
+	}
+}
+
+static bool is_all_taken(const struct flow_director *director)
+{
+	for (uint32_t i = 0; i < HOME_SLOT_COUNT; i++) {
+		const struct director_slot *slot = &director->slots[i];
+
+		if (slot->given_to != NODE_NONE &&
+		    slot->handover != HANDOVER_TAKEN)
+			return false;
+	}
+	return true;
+}
+
+static void expire_pools(struct flow_director *director, int64_t now_ms)
+{
+	int64_t before_ms = now_ms - flow_state_timeout_ms(FLOW_ESTABLISHED);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, director->histories);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		pool_history_expire(value, director->book, before_ms);
+}
+
+/* Mirrors hear of each exception again before they would forget it. */
+static void refresh_mirrors(struct flow_director *director, int64_t now_ms)
+{
+	if (now_ms - director->refreshed_ms <
+	    (int64_t)flow_state_timeout_ms(FLOW_ESTABLISHED) / 2)
+		return;
+	director->refreshed_ms = now_ms;
+	for (uint32_t i = 0; i < HOME_SLOT_COUNT; i++) {
+		struct director_slot *slot = &director->slots[i];
+
+		slot->epoch = slot->epoch == UINT8_MAX ? 1 : slot->epoch + 1;
+	}
+	flow_director_start_pass(director);
+}
+
+static void check(struct flow_director *director, int64_t now_ms)
+{
+	if (now_ms - director->checked_ms < CHECK_INTERVAL_MS)
+		return;
+	director->checked_ms = now_ms;
+	check_pending(director, now_ms);
+	expire_pools(director, now_ms);
+	refresh_mirrors(director, now_ms);
+	if (director->is_leaving)
+		director->may_stop =
+			now_ms - director->left_ms >= LEAVE_GRACE_MS &&
+			is_all_taken(director);
+}
+
+/* Does what is due; call it several times a second, whatever else happens. */
+void flow_director_tick(struct flow_director *director, int64_t now_ms)
+{
+	director->now_ms = now_ms;
+	flow_director_notice_pause(director, now_ms);
+	if (director->is_stale || !director->view)
+		return;
+	flow_director_sweep(director, now_ms);
+	flow_outbox_tick(director->outbox, now_ms);
+	check(director, now_ms);
+}
--- /dev/null
+++ b/core/src/flow_sweep.c
@@ -0,0 +1,353 @@
+#include "flow_director_state.h"
+
+#include <string.h>
+
+/* A pass over all records takes this many ticks, and many more when idle. */
+#define PASS_TICKS 10
+#define IDLE_PASS_TICKS 200
+
+static bool is_doubtful(const struct pool *pool, int64_t now_ms)
+{
+	return pool->superseded_ms == 0 ||
+	       now_ms - pool->superseded_ms < UNEVEN_MS;
+}
+
+/*
+ * Returns the pool that flows without a record follow in a slot: that of the
+ * slot's base while it lasts, else the pool in force.
+ */
+const struct pool *flow_director_base_pool(const struct flow_director *director,
+					   const struct pool_history *history,
+					   uint16_t slot, int64_t now_ms)
+{
+	const struct director_slot *state = &director->slots[slot];
+
+	if (state->base_until_ms <= now_ms)
+		return &history->pools[0];
+	return pool_history_at(history, state->base_revision);
+}
+
+/*
+ * Tells whether a node without a record of the flow could work out another
+ * target than the record names. A node may hold the pool in force, one that
+ * was in force until lately, or follow the base of the slot.
+ */
+bool flow_director_is_exception(struct flow_director *director,
+				const struct flow_record *record,
+				int64_t now_ms)
+{
+	const struct known_target *known =
+		target_book_at(director->book, record->target_index);
+	const struct pool_history *history =
+		flow_director_history(director, known->target.service_id);
+	const struct pool *base;
+
+	if (!history || history->pool_count == 0)
+		return true;
+	base = flow_director_base_pool(director, history,
+				       home_slot(record->print_low), now_ms);
+	for (uint32_t i = 0; i < history->pool_count; i++) {
+		const struct pool *pool = &history->pools[i];
+
+		if (pool != base && !is_doubtful(pool, now_ms))
+			continue;
+		if (pool_default(pool, record->print_low) !=
+		    record->target_index)
+			return true;
+	}
+	return false;
+}
+
+/* Sends a record to a node; returns false when it has to wait. */
+static bool send_record(struct flow_director *director,
+			struct flow_record *record, uint64_t to_node_id,
+			enum flow_message_kind kind, int64_t now_ms)
+{
+	uint8_t epoch = director->slots[home_slot(record->print_low)].epoch;
+	const struct known_target *known =
+		target_book_at(director->book, record->target_index);
+
+	if (record->sent_epoch == epoch)
+		return true;
+	if (!flow_outbox_add(director->outbox, to_node_id, kind,
+			     record->print_low, &known->target, now_ms))
+		return false;
+	record->sent_epoch = epoch;
+	return true;
+}
+
+/* Where a record is to be known besides here; NODE_NONE for nowhere. */
+static uint64_t receiver_of(const struct flow_director *director,
+			    const struct flow_record *record,
+			    enum flow_message_kind *kind)
+{
+	uint16_t number = home_slot(record->print_low);
+	const struct director_slot *slot = &director->slots[number];
+	const struct slot_homes *homes = home_map_at(director->homes, number);
+
+	*kind = FLOW_HANDOVER;
+	if (slot->given_to != NODE_NONE && slot->handover != HANDOVER_TAKEN)
+		return slot->given_to;
+	if (record->is_mirror || slot->handover == HANDOVER_TAKEN)
+		return NODE_NONE;
+	if (homes->home != director->self_id)
+		return homes->home;
+	*kind = FLOW_MIRROR;
+	if (record->state == FLOW_EMBRYONIC || record->state == FLOW_CLOSING)
+		return NODE_NONE;
+	return homes->mirror;
+}
+
+static bool share(struct flow_director *director, struct flow_record *record,
+		  int64_t now_ms)
+{
+	enum flow_message_kind kind;
+	uint64_t node_id = receiver_of(director, record, &kind);
+
+	if (node_id == NODE_NONE)
+		return true;
+	if (!record->is_mirror &&
+	    !flow_director_is_exception(director, record, now_ms))
+		return true;
+	return send_record(director, record, node_id, kind, now_ms);
+}
+
+/* Copies a flow to its mirror if it needs one; a later pass may do it too. */
+void flow_director_mirror(struct flow_director *director,
+			  struct flow_record *record, int64_t now_ms)
+{
+	if (director->homes && !share(director, record, now_ms))
+		director->has_skipped = true;
+}
+
+/* Begins a pass over all records that finds those to send. */
+void flow_director_start_pass(struct flow_director *director)
+{
+	director->pass_left = flow_table_bucket_count(director->table);
+	director->has_skipped = false;
+}
+
+static enum sweep_step visit(void *context, struct flow_record *record)
+{
+	struct flow_director *director = context;
+
+	if (flow_table_is_idle(record, director->now_ms)) {
+		flow_director_uncount(director, record);
+		return SWEEP_REMOVE;
+	}
+	if (director->pass_left == 0 ||
+	    share(director, record, director->now_ms))
+		return SWEEP_KEEP;
+	if (!flow_outbox_has_budget(director->outbox))
+		return SWEEP_STOP;
+	director->has_skipped = true;
+	return SWEEP_KEEP;
+}
+
+static void post_pool(struct flow_director *director, uint64_t to_node_id,
+		      const struct pool_history *history,
+		      const struct pool *pool)
+{
+	struct flow_message message = {
+		.kind = FLOW_POOL,
+		.service_id = history->service_id,
+		.generation = pool->generation,
+		.pool_count = pool->member_count,
+	};
+
+	for (uint32_t i = 0; i < pool->member_count; i++) {
+		const struct pool_member *member = &pool->members[i];
+		struct target target =
+			target_book_at(director->book, member->target_index)
+				->target;
+
+		target.weight = member->weight;
+		message.targets[message.target_count++] = target;
+		if (message.target_count < FLOW_MESSAGE_TARGETS_MAX &&
+		    i + 1 < pool->member_count)
+			continue;
+		flow_outbox_post(director->outbox, to_node_id, &message);
+		message.target_count = 0;
+	}
+}
+
+/* The pools of services that changed lately, which a new node cannot know. */
+static void post_pools(struct flow_director *director, uint64_t to_node_id,
+		       int64_t now_ms)
+{
+	int64_t since_ms = now_ms - flow_state_timeout_ms(FLOW_ESTABLISHED);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, director->histories);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct pool_history *history = value;
+
+		if (history->changed_ms == 0 || history->changed_ms < since_ms)
+			continue;
+		for (uint32_t i = 0; i < history->pool_count; i++)
+			post_pool(director, to_node_id, history,
+				  &history->pools[i]);
+	}
+}
+
+static bool is_barred(const struct known_target *known)
+{
+	return known->target.state == TARGET_LEAVING ||
+	       known->target.state == TARGET_GONE;
+}
+
+/* A node that joins may learn late, by itself, which targets leave. */
+static void post_targets(struct flow_director *director, uint64_t to_node_id)
+{
+	struct flow_message message = {.kind = FLOW_TARGETS};
+
+	for (uint32_t i = 0; i < target_book_count(director->book); i++) {
+		const struct known_target *known =
+			target_book_at(director->book, (uint16_t)i);
+
+		if (known->is_in_force && is_barred(known))
+			message.targets[message.target_count++] = known->target;
+		if (message.target_count < FLOW_MESSAGE_TARGETS_MAX)
+			continue;
+		flow_outbox_post(director->outbox, to_node_id, &message);
+		message.target_count = 0;
+	}
+	if (message.target_count > 0)
+		flow_outbox_post(director->outbox, to_node_id, &message);
+}
+
+/*
+ * A node that takes over slots may hold newer rules than this one had when it
+ * announced them, and waits for the pools before; they are known here now.
+ */
+void flow_director_resend_pools(struct flow_director *director, int64_t now_ms)
+{
+	uint64_t last_id = NODE_NONE;
+
+	for (uint32_t i = 0; i < HOME_SLOT_COUNT; i++) {
+		const struct director_slot *slot = &director->slots[i];
+
+		if (slot->handover != HANDOVER_ANNOUNCED ||
+		    slot->given_to == last_id)
+			continue;
+		last_id = slot->given_to;
+		post_pools(director, last_id, now_ms);
+	}
+}
+
+/* A slot without a base gets one when its handover is announced. */
+static void settle_base(struct flow_director *director,
+			struct director_slot *slot, int64_t now_ms)
+{
+	if (slot->base_until_ms > now_ms)
+		return;
+	slot->base_revision = director->revision;
+	slot->base_until_ms = now_ms + flow_state_timeout_ms(FLOW_ESTABLISHED);
+}
+
+/* What this node has yet to learn of a slot it cannot hand on. */
+static bool is_due(const struct director_slot *slot, uint64_t to_node_id)
+{
+	return slot->given_to == to_node_id &&
+	       slot->handover == HANDOVER_RUNNING &&
+	       slot->pending_from == NODE_NONE;
+}
+
+/* Announces slots from one number on that have the same base. */
+static void announce_alike(struct flow_director *director, uint64_t to_node_id,
+			   uint32_t first, int64_t now_ms)
+{
+	const struct director_slot *model = &director->slots[first];
+	struct flow_message done = {
+		.kind = FLOW_DONE,
+		.revision = director->revision,
+		.base_revision = model->base_revision,
+		.base_remaining_ms = (uint32_t)(model->base_until_ms - now_ms),
+	};
+
+	for (uint32_t i = first;
+	     i < HOME_SLOT_COUNT && done.slot_count < FLOW_MESSAGE_SLOTS_MAX;
+	     i++) {
+		struct director_slot *slot = &director->slots[i];
+
+		if (!is_due(slot, to_node_id))
+			continue;
+		settle_base(director, slot, now_ms);
+		if (slot->base_revision != model->base_revision ||
+		    slot->base_until_ms != model->base_until_ms)
+			continue;
+		done.slots[done.slot_count++] = (uint16_t)i;
+		slot->handover = HANDOVER_ANNOUNCED;
+	}
+	flow_outbox_post(director->outbox, to_node_id, &done);
+}
+
+/* Announces all slots that go to one node, in as few messages as it takes. */
+static void announce(struct flow_director *director, uint64_t to_node_id,
+		     int64_t now_ms)
+{
+	post_targets(director, to_node_id);
+	post_pools(director, to_node_id, now_ms);
+	for (uint32_t i = 0; i < HOME_SLOT_COUNT; i++) {
+		struct director_slot *slot = &director->slots[i];
+
+		if (!is_due(slot, to_node_id))
+			continue;
+		settle_base(director, slot, now_ms);
+		announce_alike(director, to_node_id, i, now_ms);
+	}
+}
+
+static void announce_all(struct flow_director *director, int64_t now_ms)
+{
+	for (uint32_t i = 0; i < HOME_SLOT_COUNT; i++) {
+		const struct director_slot *slot = &director->slots[i];
+
+		if (slot->given_to != NODE_NONE &&
+		    is_due(slot, slot->given_to) &&
+		    flow_outbox_is_idle(director->outbox, slot->given_to))
+			announce(director, slot->given_to, now_ms);
+	}
+}
+
+/* The other node has taken a message; slots it announced are its own now. */
+void flow_director_acked(void *context, uint64_t to_node_id,
+			 const struct flow_message *message)
+{
+	struct flow_director *director = context;
+
+	if (message->kind != FLOW_DONE)
+		return;
+	for (uint32_t i = 0; i < message->slot_count; i++) {
+		struct director_slot *slot =
+			&director->slots[message->slots[i]];
+
+		if (slot->given_to != to_node_id ||
+		    slot->handover != HANDOVER_ANNOUNCED)
+			continue;
+		slot->handover = HANDOVER_TAKEN;
+	}
+}
+
+/*
+ * Moves the hand over part of the table: idle flows go, and in a pass
+ * exceptions are sent to where they must be known, as far as the budget lets.
+ */
+void flow_director_sweep(struct flow_director *director, int64_t now_ms)
+{
+	uint32_t all = flow_table_bucket_count(director->table);
+	bool is_pass = director->pass_left > 0;
+	uint32_t step = all / (is_pass ? PASS_TICKS : IDLE_PASS_TICKS) + 1;
+	uint32_t passed =
+		flow_table_sweep(director->table, step, director, visit);
+
+	if (is_pass)
+		director->pass_left -= MIN(passed, director->pass_left);
+	if (director->pass_left > 0)
+		return;
+	if (director->has_skipped)
+		flow_director_start_pass(director);
+	else
+		announce_all(director, now_ms);
+}
--- a/core/src/reason.c
+++ b/core/src/reason.c
@@ -40,6 +40,9 @@
 	[REASON_KEY_UNKNOWN] = "key_unknown",
 	[REASON_CANCELLED] = "cancelled",
 	[REASON_DRAINING] = "draining",
+	[REASON_STALE_VIEW] = "stale_view",
+	[REASON_TARGET_CUT_OFF] = "target_cut_off",
+	[REASON_DEFAULT_BUSY] = "default_busy",
 };
 
 /* Names a reason for decision log lines and counters. */
--- a/core/src/target.c
+++ b/core/src/target.c
@@ -5,7 +5,7 @@
 static const char *const state_names[TARGET_STATE_COUNT] = {
 	[TARGET_SERVING] = "serving", [TARGET_COLD] = "cold",
 	[TARGET_LEAVING] = "leaving", [TARGET_FAILING] = "failing",
-	[TARGET_CUT_OFF] = "cut_off",
+	[TARGET_CUT_OFF] = "cut_off", [TARGET_GONE] = "gone",
 };
 
 /* Derives the id from endpoint, incarnation and service; never TARGET_NONE. */
