--- a/core/src/flow_message.c
+++ b/core/src/flow_message.c
@@ -9,7 +9,10 @@
 #define XDR_ALIGN_BYTES 4
 
 /* What lower layers add: the RPC header with its digest, UDP and IP. */
-#define ENVELOPE_BYTES 112
+#define ENVELOPE_BYTES 104
+
+/* A message that entries fill stays within one datagram. */
+#define DATAGRAM_BYTES_MAX 1400
 
 /* Version, kind, sequence number and the numbers that the kind needs. */
 static const uint32_t fixed_bytes[FLOW_MESSAGE_KIND_COUNT] = {
@@ -57,7 +60,9 @@
 	uint32_t index = find_target(message, target->target_id);
 
 	if (message->entry_count == FLOW_MESSAGE_ENTRIES_MAX ||
-	    index == FLOW_MESSAGE_TARGETS_MAX)
+	    index == FLOW_MESSAGE_TARGETS_MAX ||
+	    flow_message_size_bytes(message) + TARGET_BYTES_V6 + ENTRY_BYTES >
+		    DATAGRAM_BYTES_MAX)
 		return false;
 	if (index == message->target_count)
 		message->targets[message->target_count++] = *target;
