--- /dev/null
+++ b/core/include/core/member_event.h
@@ -0,0 +1,33 @@
+#ifndef CORE_MEMBER_EVENT_H
+#define CORE_MEMBER_EVENT_H
+
+#include <core/node.h>
+
+enum member_event_kind {
+	MEMBER_EVENT_JOINED,
+	MEMBER_EVENT_SERVING,
+	MEMBER_EVENT_LEAVING,
+	MEMBER_EVENT_SUSPECTED,
+	MEMBER_EVENT_REFUTED,
+	MEMBER_EVENT_DIED,
+	MEMBER_EVENT_LEFT,
+	MEMBER_EVENT_FORGOTTEN,
+	MEMBER_EVENT_ZONE_CUT,
+	MEMBER_EVENT_ZONE_HEALED,
+	MEMBER_EVENT_ZONE_LOST,
+	MEMBER_EVENT_WOKE,
+	MEMBER_EVENT_DECLARED_DEAD,
+	MEMBER_EVENT_KIND_COUNT,
+};
+
+/* One decision about a node, or about a zone when node_id is NODE_NONE. */
+struct member_event {
+	enum member_event_kind kind;
+	uint32_t zone_id;
+	uint64_t node_id;
+	uint32_t incarnation;
+};
+
+const char *member_event_name(enum member_event_kind kind);
+
+#endif
--- /dev/null
+++ b/core/src/member.h
@@ -0,0 +1,31 @@
+#ifndef MEMBER_H
+#define MEMBER_H
+
+#include "suspicion.h"
+
+#include <core/member_update.h>
+
+/*
+ * What this node holds of one member. node.state is what the member said of
+ * itself, or dead; suspicion is kept beside it. Of itself a node is unsure
+ * after a pause, until a peer has said what became of it.
+ */
+struct member {
+	struct node node;
+	bool is_suspect;
+	bool is_unsure;
+	struct suspicion suspicion;
+	uint32_t check_count;
+	int64_t acked_ms;
+	int64_t dead_ms;
+	uint64_t last_accuser_id;
+	uint32_t sends_left;
+};
+
+enum node_state member_shown_state(const struct member *member);
+bool member_is_live(const struct member *member);
+struct member_update member_to_update(const struct member *member);
+struct member_update member_to_full_update(const struct member *member);
+uint64_t member_digest(const struct member *member);
+
+#endif
--- /dev/null
+++ b/core/src/member_probe.h
@@ -0,0 +1,45 @@
+#ifndef MEMBER_PROBE_H
+#define MEMBER_PROBE_H
+
+#include <core/endpoint.h>
+#include <glib.h>
+
+enum probe_stage {
+	PROBE_DIRECT,
+	PROBE_INDIRECT,
+};
+
+/*
+ * A probe under way. A probe made for another node has its requester, to whom
+ * the acknowledgement is passed on; nobody is suspected by it.
+ */
+struct member_probe {
+	uint32_t probe_id;
+	enum probe_stage stage;
+	uint64_t target_id;
+	int64_t started_ms;
+	uint64_t requester_id;
+	uint32_t requester_probe_id;
+	struct endpoint requester;
+};
+
+#define PROBE_COUNT_MAX 256
+
+/* The probes under way, oldest first. */
+struct probe_list;
+
+struct probe_list *probe_list_new(void);
+void probe_list_free(struct probe_list *list);
+struct member_probe *probe_list_add(struct probe_list *list,
+				    const struct member_probe *probe);
+uint32_t probe_list_count(const struct probe_list *list);
+struct member_probe *probe_list_at(const struct probe_list *list,
+				   uint32_t index);
+gboolean probe_list_take(struct probe_list *list, uint32_t probe_id,
+			 uint64_t target_id, struct member_probe *probe);
+void probe_list_remove_at(struct probe_list *list, uint32_t index);
+void probe_list_clear(struct probe_list *list);
+gboolean probe_list_has_target(const struct probe_list *list,
+			       uint64_t target_id);
+
+#endif
--- /dev/null
+++ b/core/src/membership.c
@@ -0,0 +1,229 @@
+#include "membership_state.h"
+
+#define PROBE_INTERVAL_PRESET_MS 1000
+#define JOINING_PRESET_MS 2000
+#define ZONE_HOLD_PRESET_MS (10 * 60 * 1000)
+#define FORGET_PRESET_MS (10 * 60 * 1000)
+#define PAUSE_PRESET_INTERVALS 2
+
+static uint32_t or_preset(uint32_t value, uint32_t preset)
+{
+	return value > 0 ? value : preset;
+}
+
+static struct membership_options
+complete_options(const struct membership_options *given)
+{
+	struct membership_options options = *given;
+
+	options.probe_interval_ms =
+		or_preset(given->probe_interval_ms, PROBE_INTERVAL_PRESET_MS);
+	options.joining_ms = or_preset(given->joining_ms, JOINING_PRESET_MS);
+	options.zone_hold_ms =
+		or_preset(given->zone_hold_ms, ZONE_HOLD_PRESET_MS);
+	options.forget_ms = or_preset(given->forget_ms, FORGET_PRESET_MS);
+	options.pause_ms =
+		or_preset(given->pause_ms,
+			  PAUSE_PRESET_INTERVALS * options.probe_interval_ms);
+	options.self.incarnation = MAX(given->self.incarnation, 1);
+	options.self.state = NODE_JOINING;
+	return options;
+}
+
+static void start(struct membership *membership, int64_t now_ms)
+{
+	uint32_t interval_ms = membership->options.probe_interval_ms;
+
+	membership->last_tick_ms = now_ms;
+	/* Nodes started together should not probe in step. */
+	membership->next_probe_ms =
+		now_ms +
+		g_rand_int_range(membership->rand, 0, (gint32)interval_ms);
+	membership->next_gossip_ms = now_ms;
+	membership->next_hint_ms = now_ms + interval_ms;
+	membership_enter(membership, SELF_SYNCING, now_ms);
+}
+
+/*
+ * Makes the membership of a node that joins; it sees itself alone until it
+ * has heard from others. The caller frees it with membership_free.
+ */
+struct membership *membership_new(const struct membership_options *options,
+				  int64_t now_ms)
+{
+	struct membership *membership = g_new0(struct membership, 1);
+
+	membership->options = complete_options(options);
+	membership->rand = g_rand_new_with_seed(
+		(guint32)(options->seed ^ options->self.node_id));
+	membership->table = member_table_new();
+	membership->probes = probe_list_new();
+	membership->zones = zone_watch_new(membership->options.zone_hold_ms);
+	membership->hints = g_array_new(FALSE, FALSE, sizeof(struct endpoint));
+	membership->rotation = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	membership->self =
+		member_table_add(membership->table, &membership->options.self);
+	membership->digest = member_table_digest(membership->table);
+	start(membership, now_ms);
+	membership_publish(membership);
+	return membership;
+}
+
+/* Frees a membership; NULL is allowed. */
+void membership_free(struct membership *membership)
+{
+	if (!membership)
+		return;
+	g_rand_free(membership->rand);
+	member_table_free(membership->table);
+	probe_list_free(membership->probes);
+	zone_watch_free(membership->zones);
+	g_array_free(membership->hints, TRUE);
+	g_array_free(membership->rotation, TRUE);
+	node_view_free(membership->view);
+	g_free(membership);
+}
+
+/*
+ * Replaces the addresses where members may be found: those of the settings
+ * and of the VM list. They are evidence only; a node counts when it answers.
+ */
+void membership_set_hints(struct membership *membership,
+			  const struct endpoint *endpoints, uint32_t count)
+{
+	g_array_set_size(membership->hints, 0);
+	g_array_append_vals(membership->hints, endpoints, count);
+}
+
+static void note_digest(struct membership *membership, int64_t now_ms)
+{
+	uint64_t digest = member_table_digest(membership->table);
+
+	if (digest == membership->digest)
+		return;
+	membership->digest = digest;
+	membership->changed_ms = now_ms;
+}
+
+static void merge_all(struct membership *membership, uint64_t from_node_id,
+		      const struct member_message *message, int64_t now_ms)
+{
+	bool is_newcomer = membership->phase == SELF_SYNCING ||
+			   membership->phase == SELF_SETTLING;
+
+	for (uint32_t i = 0; i < message->update_count; i++) {
+		const struct member_update *update = &message->updates[i];
+		struct member *member;
+
+		membership_merge(membership, from_node_id, update, now_ms);
+		if (message->kind != MEMBER_SYNC_PAGE || !is_newcomer)
+			continue;
+		/* What a newcomer learns is news to nobody else. */
+		member = member_table_find(membership->table,
+					   update->node.node_id);
+		if (member && member != membership->self)
+			member->sends_left = 0;
+	}
+	note_digest(membership, now_ms);
+}
+
+static void dispatch(struct membership *membership, uint64_t from_node_id,
+		     const struct endpoint *from,
+		     const struct member_message *message, int64_t now_ms)
+{
+	switch (message->kind) {
+	case MEMBER_PROBE:
+		membership_on_probe(membership, from_node_id, from, message);
+		return;
+	case MEMBER_ACK:
+		membership_on_ack(membership, from_node_id, message, now_ms);
+		return;
+	case MEMBER_PROBE_REQUEST:
+		membership_on_probe_request(membership, from_node_id, from,
+					    message, now_ms);
+		return;
+	case MEMBER_SYNC_REQUEST:
+		membership_on_sync_request(membership, from_node_id, from);
+		return;
+	case MEMBER_SYNC_PAGE:
+		membership_on_synced(membership, now_ms);
+		return;
+	case MEMBER_GOSSIP:
+	case MEMBER_MESSAGE_KIND_COUNT:
+		return;
+	}
+}
+
+/*
+ * Takes in an authentic message. Messages of other regions, and those that
+ * this node sent itself, are dropped.
+ */
+void membership_receive(struct membership *membership, uint64_t from_node_id,
+			const struct endpoint *from,
+			const struct member_message *message, int64_t now_ms)
+{
+	const struct node *self = &membership->self->node;
+
+	if (membership->phase == SELF_STOPPED ||
+	    message->region_id != self->region_id ||
+	    from_node_id == self->node_id)
+		return;
+	membership_notice_pause(membership, now_ms);
+	merge_all(membership, from_node_id, message, now_ms);
+	dispatch(membership, from_node_id, from, message, now_ms);
+	membership_on_digest(membership, from_node_id, from,
+			     message->view_digest, now_ms);
+}
+
+/* Does what time demands; to be called every MEMBERSHIP_TICK_MS. */
+void membership_tick(struct membership *membership, int64_t now_ms)
+{
+	if (membership->phase == SELF_STOPPED)
+		return;
+	membership_notice_pause(membership, now_ms);
+	membership_expire(membership, now_ms);
+	membership_self_tick(membership, now_ms);
+	note_digest(membership, now_ms);
+	membership_probe_tick(membership, now_ms);
+	membership_gossip(membership, now_ms);
+	membership_hint_tick(membership, now_ms);
+	note_digest(membership, now_ms);
+	membership_publish(membership);
+}
+
+static void announce_end(struct membership *membership, enum node_state state,
+			 int64_t now_ms)
+{
+	struct member *self = membership->self;
+
+	self->is_unsure = false;
+	self->node.state = state;
+	self->last_accuser_id = self->node.node_id;
+	membership->is_dirty = true;
+	membership_spread(membership, self);
+	note_digest(membership, now_ms);
+	membership->next_gossip_ms = now_ms;
+	membership_gossip(membership, now_ms);
+}
+
+/* Announces that this node takes nothing new; it goes on answering. */
+void membership_leave(struct membership *membership, int64_t now_ms)
+{
+	membership_enter(membership, SELF_LEAVING, now_ms);
+	announce_end(membership, NODE_LEAVING, now_ms);
+	membership_publish(membership);
+}
+
+/* Announces that this node is gone; it does nothing from then on. */
+void membership_stop(struct membership *membership, int64_t now_ms)
+{
+	announce_end(membership, NODE_DEAD, now_ms);
+	membership->phase = SELF_STOPPED;
+	membership_publish(membership);
+}
+
+/* Returns this node's view, valid until the next call. */
+const struct node_view *membership_view(const struct membership *membership)
+{
+	return membership->view;
+}
--- /dev/null
+++ b/core/src/membership_probe.c
@@ -0,0 +1,299 @@
+#include "membership_state.h"
+
+/* Share of the probe interval after which more ways are tried. */
+#define DIRECT_SHARE_NUMERATOR 3
+#define DIRECT_SHARE_DENOMINATOR 10
+#define DEAD_PROBE_INTERVALS 10
+#define FAILURE_SAMPLE_COUNT 16
+
+static void send_probe(struct membership *membership,
+		       const struct member_probe *probe,
+		       const struct member *target)
+{
+	struct member_message message = {.kind = MEMBER_PROBE,
+					 .probe_id = probe->probe_id,
+					 .subject_id = probe->target_id};
+
+	membership_send_news(membership, target, &message);
+}
+
+/* Probes a member on this node's own behalf, unless it is being probed. */
+void membership_probe(struct membership *membership, struct member *member,
+		      int64_t now_ms)
+{
+	struct member_probe probe = {.target_id = member->node.node_id,
+				     .started_ms = now_ms};
+	const struct member_probe *added;
+
+	if (probe_list_has_target(membership->probes, probe.target_id))
+		return;
+	added = probe_list_add(membership->probes, &probe);
+	if (!added)
+		return;
+	send_probe(membership, added, member);
+}
+
+/* Averages over about the last 16 probes of members that are not suspect. */
+static void note_direct(struct membership *membership,
+			const struct member *target, bool has_failed)
+{
+	double sample = has_failed ? 1 : 0;
+
+	if (!target->is_suspect)
+		membership->direct_failure_share +=
+			(sample - membership->direct_failure_share) /
+			FAILURE_SAMPLE_COUNT;
+}
+
+/* What a helper for an indirect probe must not be. */
+struct helper_choice {
+	const struct member *self;
+	const struct member *target;
+};
+
+static bool is_helper(const void *context, const struct member *member)
+{
+	const struct helper_choice *choice = context;
+
+	return member != choice->self && member != choice->target &&
+	       member_is_live(member) && !member->is_suspect;
+}
+
+static void ask_helpers(struct membership *membership,
+			const struct member_probe *probe,
+			const struct member *target)
+{
+	struct helper_choice choice = {membership->self, target};
+	struct member_filter filter = {&choice, is_helper};
+	struct member *helpers[PROBE_HELPER_COUNT];
+	uint32_t count =
+		member_table_choose(membership->table, membership->rand,
+				    &filter, helpers, PROBE_HELPER_COUNT);
+
+	for (uint32_t i = 0; i < count; i++) {
+		struct member_message message = {.kind = MEMBER_PROBE_REQUEST,
+						 .probe_id = probe->probe_id,
+						 .subject_id =
+							 probe->target_id};
+
+		membership_send_news(membership, helpers[i], &message);
+	}
+}
+
+/* Returns whether the probe is over. */
+static bool age_probe(struct membership *membership, struct member_probe *probe,
+		      int64_t now_ms)
+{
+	uint32_t interval_ms = membership->options.probe_interval_ms;
+	int64_t age_ms = now_ms - probe->started_ms;
+	struct member *target =
+		member_table_find(membership->table, probe->target_id);
+
+	if (age_ms >= interval_ms || !target)
+		return true;
+	if (probe->requester_id != NODE_NONE || probe->stage != PROBE_DIRECT ||
+	    !member_is_live(target))
+		return false;
+	if (age_ms * DIRECT_SHARE_DENOMINATOR <
+	    (int64_t)interval_ms * DIRECT_SHARE_NUMERATOR)
+		return false;
+	probe->stage = PROBE_INDIRECT;
+	note_direct(membership, target, true);
+	send_probe(membership, probe, target);
+	ask_helpers(membership, probe, target);
+	return false;
+}
+
+static void age_probes(struct membership *membership, int64_t now_ms)
+{
+	uint32_t i = 0;
+
+	while (i < probe_list_count(membership->probes)) {
+		struct member_probe probe =
+			*probe_list_at(membership->probes, i);
+		struct member *target;
+
+		if (!age_probe(membership, probe_list_at(membership->probes, i),
+			       now_ms)) {
+			i++;
+			continue;
+		}
+		probe_list_remove_at(membership->probes, i);
+		target = member_table_find(membership->table, probe.target_id);
+		if (target && probe.requester_id == NODE_NONE)
+			membership_suspect(membership, target,
+					   membership->self->node.node_id,
+					   now_ms);
+	}
+}
+
+/* A random order in which every member is probed once (SWIM, section 4.3). */
+static void shuffle_rotation(struct membership *membership)
+{
+	GArray *rotation = membership->rotation;
+
+	g_array_set_size(rotation, 0);
+	membership->rotation_next = 0;
+	for (uint32_t i = 0; i < member_table_count(membership->table); i++) {
+		const struct member *member =
+			member_table_at(membership->table, i);
+
+		if (member != membership->self && member_is_live(member))
+			g_array_append_val(rotation, member->node.node_id);
+	}
+	for (guint i = rotation->len; i > 1; i--) {
+		guint j =
+			(guint)g_rand_int_range(membership->rand, 0, (gint32)i);
+		uint64_t held = g_array_index(rotation, uint64_t, i - 1);
+
+		g_array_index(rotation, uint64_t, i - 1) =
+			g_array_index(rotation, uint64_t, j);
+		g_array_index(rotation, uint64_t, j) = held;
+	}
+}
+
+static struct member *next_in_rotation(struct membership *membership)
+{
+	while (membership->rotation_next < membership->rotation->len) {
+		uint64_t node_id = g_array_index(membership->rotation, uint64_t,
+						 membership->rotation_next++);
+		struct member *member =
+			member_table_find(membership->table, node_id);
+
+		if (member && member_is_live(member))
+			return member;
+	}
+	return NULL;
+}
+
+static struct member *next_target(struct membership *membership)
+{
+	struct member *member = next_in_rotation(membership);
+
+	if (member)
+		return member;
+	shuffle_rotation(membership);
+	return next_in_rotation(membership);
+}
+
+/* A member that died rather than left may be behind a healed partition. */
+static bool is_worth_reviving(const void *context, const struct member *member)
+{
+	return !member_is_live(member) &&
+	       member->last_accuser_id != member->node.node_id;
+}
+
+static void probe_a_dead(struct membership *membership, int64_t now_ms)
+{
+	struct member_filter filter = {NULL, is_worth_reviving};
+	struct member *dead;
+
+	if (now_ms < membership->next_dead_probe_ms)
+		return;
+	membership->next_dead_probe_ms =
+		now_ms + (int64_t)DEAD_PROBE_INTERVALS *
+				 membership->options.probe_interval_ms;
+	if (member_table_choose(membership->table, membership->rand, &filter,
+				&dead, 1) == 1)
+		membership_probe(membership, dead, now_ms);
+}
+
+/* Ages the probes under way and starts the next one when it is due. */
+void membership_probe_tick(struct membership *membership, int64_t now_ms)
+{
+	struct member *target;
+
+	age_probes(membership, now_ms);
+	probe_a_dead(membership, now_ms);
+	if (now_ms < membership->next_probe_ms)
+		return;
+	membership->next_probe_ms =
+		now_ms + membership->options.probe_interval_ms;
+	target = next_target(membership);
+	if (target)
+		membership_probe(membership, target, now_ms);
+}
+
+/*
+ * Answers a probe of this node. A prober that is not known, or forgotten, is
+ * told that it is dead, in incarnation 0, which only a node that wakes from a
+ * pause takes seriously.
+ */
+void membership_on_probe(struct membership *membership, uint64_t from_node_id,
+			 const struct endpoint *from,
+			 const struct member_message *message)
+{
+	struct member *prober =
+		member_table_find(membership->table, from_node_id);
+	struct member unknown = {.node = {.node_id = from_node_id,
+					  .control = *from,
+					  .state = NODE_DEAD}};
+	struct member_message ack = {.kind = MEMBER_ACK,
+				     .probe_id = message->probe_id,
+				     .subject_id = message->subject_id};
+
+	if (message->subject_id != membership->self->node.node_id)
+		return;
+	membership_send_news(membership, prober ? prober : &unknown, &ack);
+}
+
+/* Passes an acknowledgement on to the node that asked for the probe. */
+static void relay(struct membership *membership,
+		  const struct member_probe *probe)
+{
+	struct member *requester =
+		member_table_find(membership->table, probe->requester_id);
+	struct member_message ack = {.kind = MEMBER_ACK,
+				     .probe_id = probe->requester_probe_id,
+				     .subject_id = probe->target_id};
+
+	if (requester)
+		membership_send_news(membership, requester, &ack);
+}
+
+/* Ends the probe that is answered. Wrong or late answers are dropped. */
+void membership_on_ack(struct membership *membership, uint64_t from_node_id,
+		       const struct member_message *message, int64_t now_ms)
+{
+	struct member *subject =
+		member_table_find(membership->table, message->subject_id);
+	struct member_probe probe;
+
+	if (!probe_list_take(membership->probes, message->probe_id,
+			     message->subject_id, &probe))
+		return;
+	if (probe.requester_id != NODE_NONE) {
+		relay(membership, &probe);
+		return;
+	}
+	if (subject) {
+		subject->acked_ms = now_ms;
+		if (probe.stage == PROBE_DIRECT)
+			note_direct(membership, subject, false);
+	}
+	membership_on_verified(membership, now_ms);
+}
+
+/* Probes a member on behalf of another that cannot reach it. */
+void membership_on_probe_request(struct membership *membership,
+				 uint64_t from_node_id,
+				 const struct endpoint *from,
+				 const struct member_message *message,
+				 int64_t now_ms)
+{
+	struct member *target =
+		member_table_find(membership->table, message->subject_id);
+	struct member_probe probe = {.target_id = message->subject_id,
+				     .started_ms = now_ms,
+				     .requester_id = from_node_id,
+				     .requester_probe_id = message->probe_id,
+				     .requester = *from};
+	const struct member_probe *added;
+
+	if (!target || target == membership->self)
+		return;
+	added = probe_list_add(membership->probes, &probe);
+	if (!added)
+		return;
+	send_probe(membership, added, target);
+}
--- /dev/null
+++ b/core/src/membership_self.c
@@ -0,0 +1,257 @@
+#include "membership_state.h"
+
+#define REQUEST_INTERVAL_DIVISOR 2
+#define SYNC_TIMEOUT_INTERVALS 5
+#define VERIFY_TIMEOUT_INTERVALS 3
+#define VERIFY_PEER_COUNT 3
+
+/* Enters a phase and publishes what it changes. */
+void membership_enter(struct membership *membership, enum self_phase phase,
+		      int64_t now_ms)
+{
+	membership->phase = phase;
+	membership->phase_since_ms = now_ms;
+	membership->next_request_ms = now_ms;
+	membership->self->is_unsure = phase == SELF_VERIFYING;
+	membership->is_dirty = true;
+}
+
+/* Hands out a new view when something in it has changed. */
+void membership_publish(struct membership *membership)
+{
+	const struct membership_effects *effects = &membership->options.effects;
+
+	if (!membership->is_dirty)
+		return;
+	membership->is_dirty = false;
+	node_view_free(membership->view);
+	membership->view = member_table_view(membership->table,
+					     membership->self->node.node_id,
+					     ++membership->view_version);
+	effects->view_changed(effects->context, membership->view);
+}
+
+static void announce(struct membership *membership, enum node_state state)
+{
+	membership->self->node.state = state;
+	membership->is_dirty = true;
+	membership_spread(membership, membership->self);
+}
+
+/*
+ * This node was declared dead. Its own view says so for once, that whoever
+ * acts on it stops; then it joins anew, in a higher incarnation.
+ */
+static void rejoin(struct membership *membership, uint32_t incarnation,
+		   int64_t now_ms)
+{
+	struct member *self = membership->self;
+
+	membership_report(membership, MEMBER_EVENT_DECLARED_DEAD, &self->node);
+	self->is_unsure = false;
+	self->node.state = NODE_DEAD;
+	membership->is_dirty = true;
+	membership_publish(membership);
+	self->node.incarnation = MAX(incarnation, self->node.incarnation) + 1;
+	announce(membership, NODE_JOINING);
+	membership_enter(membership, SELF_SYNCING, now_ms);
+	membership_publish(membership);
+}
+
+static void refute(struct membership *membership, uint32_t incarnation)
+{
+	struct member *self = membership->self;
+
+	self->node.incarnation = incarnation + 1;
+	announce(membership, self->node.state);
+}
+
+static bool is_stale(const struct membership *membership,
+		     const struct member_update *update)
+{
+	const struct node *node = &update->node;
+
+	if (membership->phase == SELF_VERIFYING && node->state == NODE_DEAD &&
+	    node->incarnation == 0)
+		return false;
+	return node->incarnation < membership->self->node.incarnation;
+}
+
+/* Hears what others say of this node, and contradicts them where needed. */
+void membership_on_self(struct membership *membership,
+			const struct member_update *update, int64_t now_ms)
+{
+	const struct node *node = &update->node;
+
+	if (membership->phase == SELF_STOPPED || is_stale(membership, update))
+		return;
+	if (member_update_is_full(update)) {
+		if (node->incarnation > membership->self->node.incarnation)
+			refute(membership, node->incarnation);
+		return;
+	}
+	if (node->state == NODE_DEAD && membership->phase != SELF_LEAVING)
+		rejoin(membership, node->incarnation, now_ms);
+	else if (membership->phase == SELF_VERIFYING)
+		membership->accused_incarnation = node->incarnation;
+	else
+		refute(membership, node->incarnation);
+}
+
+/* A page of another's view has come in. */
+void membership_on_synced(struct membership *membership, int64_t now_ms)
+{
+	if (membership->phase == SELF_SYNCING)
+		membership_enter(membership, SELF_SETTLING, now_ms);
+}
+
+/*
+ * Ends a verification that found no death. A suspicion is refuted only now: a
+ * refutation before would have brought back a node that others buried.
+ */
+static void resume(struct membership *membership, int64_t now_ms)
+{
+	membership_enter(membership, SELF_SERVING, now_ms);
+	if (membership->accused_incarnation >=
+	    membership->self->node.incarnation)
+		refute(membership, membership->accused_incarnation);
+}
+
+/* A peer has answered a probe and did not call this node dead. */
+void membership_on_verified(struct membership *membership, int64_t now_ms)
+{
+	if (membership->phase == SELF_VERIFYING)
+		resume(membership, now_ms);
+}
+
+static bool is_peer(const void *context, const struct member *member)
+{
+	return member != context && member_is_live(member);
+}
+
+static void verify(struct membership *membership, int64_t now_ms)
+{
+	struct member_filter filter = {membership->self, is_peer};
+	struct member *peers[VERIFY_PEER_COUNT];
+	uint32_t count =
+		member_table_choose(membership->table, membership->rand,
+				    &filter, peers, VERIFY_PEER_COUNT);
+
+	probe_list_clear(membership->probes);
+	for (uint32_t i = 0; i < count; i++)
+		membership_probe(membership, peers[i], now_ms);
+}
+
+static void request(struct membership *membership)
+{
+	struct member_filter filter = {membership->self, is_peer};
+	struct member *peer;
+
+	if (member_table_choose(membership->table, membership->rand, &filter,
+				&peer, 1) == 1)
+		membership_request_sync(membership, peer->node.node_id,
+					&peer->node.control);
+	membership_ask_hint(membership);
+}
+
+static bool is_request_due(struct membership *membership, int64_t now_ms)
+{
+	if (now_ms < membership->next_request_ms)
+		return false;
+	membership->next_request_ms =
+		now_ms + membership->options.probe_interval_ms /
+				 REQUEST_INTERVAL_DIVISOR;
+	return true;
+}
+
+/*
+ * A node that finds nobody serves alone: it may be the first one, or cut off
+ * from all others.
+ */
+static bool is_timed_out(const struct membership *membership,
+			 uint32_t interval_count, int64_t now_ms)
+{
+	return now_ms - membership->phase_since_ms >=
+	       (int64_t)interval_count * membership->options.probe_interval_ms;
+}
+
+/* Moves this node from joining to serving, or through a verification. */
+void membership_self_tick(struct membership *membership, int64_t now_ms)
+{
+	switch (membership->phase) {
+	case SELF_SYNCING:
+		if (is_timed_out(membership, SYNC_TIMEOUT_INTERVALS, now_ms))
+			membership_enter(membership, SELF_SETTLING, now_ms);
+		else if (is_request_due(membership, now_ms))
+			request(membership);
+		return;
+	case SELF_SETTLING:
+		if (now_ms - membership->phase_since_ms <
+		    membership->options.joining_ms)
+			return;
+		announce(membership, NODE_SERVING);
+		membership_report(membership, MEMBER_EVENT_SERVING,
+				  &membership->self->node);
+		membership_enter(membership, SELF_SERVING, now_ms);
+		return;
+	case SELF_VERIFYING:
+		if (is_timed_out(membership, VERIFY_TIMEOUT_INTERVALS, now_ms))
+			resume(membership, now_ms);
+		else if (is_request_due(membership, now_ms))
+			verify(membership, now_ms);
+		return;
+	case SELF_SERVING:
+	case SELF_LEAVING:
+	case SELF_STOPPED:
+		return;
+	}
+}
+
+/* Time this node slept through says nothing about the others. */
+static void forgive_others(struct membership *membership, int64_t now_ms)
+{
+	probe_list_clear(membership->probes);
+	zone_watch_restart(membership->zones, now_ms);
+	for (uint32_t i = 0; i < member_table_count(membership->table); i++) {
+		struct member *member = member_table_at(membership->table, i);
+
+		if (member->is_suspect)
+			suspicion_start(&member->suspicion, now_ms);
+	}
+}
+
+static const enum self_phase phases_after_pause[] = {
+	[SELF_SYNCING] = SELF_SYNCING,	 [SELF_SETTLING] = SELF_SYNCING,
+	[SELF_SERVING] = SELF_VERIFYING, [SELF_VERIFYING] = SELF_VERIFYING,
+	[SELF_LEAVING] = SELF_LEAVING,	 [SELF_STOPPED] = SELF_STOPPED,
+};
+
+static void wake(struct membership *membership, int64_t now_ms)
+{
+	enum self_phase phase = phases_after_pause[membership->phase];
+
+	membership_report(membership, MEMBER_EVENT_WOKE,
+			  &membership->self->node);
+	membership_enter(membership, phase, now_ms);
+	if (phase == SELF_SYNCING) {
+		membership->self->node.incarnation++;
+		announce(membership, NODE_JOINING);
+	}
+	membership_publish(membership);
+}
+
+/*
+ * Notices that this node slept. It then counts itself as joining until a peer
+ * has told what became of it meanwhile.
+ */
+void membership_notice_pause(struct membership *membership, int64_t now_ms)
+{
+	int64_t gap_ms = now_ms - membership->last_tick_ms;
+
+	membership->last_tick_ms = now_ms;
+	if (gap_ms < membership->options.probe_interval_ms)
+		return;
+	forgive_others(membership, now_ms);
+	if (gap_ms >= membership->options.pause_ms)
+		wake(membership, now_ms);
+}
--- /dev/null
+++ b/core/src/membership_send.c
@@ -0,0 +1,116 @@
+#include "membership_state.h"
+
+#include <math.h>
+
+/* Each piece of news is sent this many times a decade of nodes. */
+#define SENDS_PER_DECADE 4
+#define GOSSIP_FANOUT 2
+#define GOSSIP_INTERVAL_DIVISOR 4
+
+/* Completes a message and gives it to the transport. */
+void membership_send(struct membership *membership, uint64_t to_node_id,
+		     const struct endpoint *to, struct member_message *message)
+{
+	const struct membership_effects *effects = &membership->options.effects;
+
+	message->region_id = membership->self->node.region_id;
+	message->view_digest = membership->digest;
+	effects->send(effects->context, to_node_id, to, message);
+}
+
+/* Marks a member as news, to be passed on a bounded number of times. */
+void membership_spread(struct membership *membership, struct member *member)
+{
+	uint32_t count = member_table_live_count(membership->table);
+
+	member->sends_left =
+		(uint32_t)(SENDS_PER_DECADE * ceil(log10(count + 1)));
+}
+
+static int compare_news(const void *a, const void *b)
+{
+	const struct member *left = *(struct member *const *)a;
+	const struct member *right = *(struct member *const *)b;
+
+	if (left->sends_left != right->sends_left)
+		return left->sends_left > right->sends_left ? -1 : 1;
+	return left->node.node_id < right->node.node_id ? -1 : 1;
+}
+
+static GPtrArray *collect_news(const struct membership *membership)
+{
+	GPtrArray *news = g_ptr_array_new();
+
+	for (uint32_t i = 0; i < member_table_count(membership->table); i++) {
+		struct member *member = member_table_at(membership->table, i);
+
+		if (member->sends_left > 0)
+			g_ptr_array_add(news, member);
+	}
+	g_ptr_array_sort(news, compare_news);
+	return news;
+}
+
+static void add_news(struct membership *membership,
+		     struct member_message *message)
+{
+	GPtrArray *news = collect_news(membership);
+
+	for (guint i = 0; i < news->len; i++) {
+		struct member *member = g_ptr_array_index(news, i);
+
+		if (message->update_count == MEMBER_GOSSIP_UPDATES_MAX)
+			break;
+		message->updates[message->update_count++] =
+			member_to_update(member);
+		member->sends_left--;
+	}
+	g_ptr_array_free(news, TRUE);
+}
+
+/*
+ * Sends a message to a member with the freshest news. A member that is
+ * suspect or dead hears so first, that it may refute.
+ */
+void membership_send_news(struct membership *membership,
+			  const struct member *to,
+			  struct member_message *message)
+{
+	if (to->is_suspect || !member_is_live(to))
+		message->updates[message->update_count++] =
+			member_to_update(to);
+	add_news(membership, message);
+	membership_send(membership, to->node.node_id, &to->node.control,
+			message);
+}
+
+static bool is_gossip_partner(const void *context, const struct member *member)
+{
+	return member != context && member_is_live(member) &&
+	       !member->is_suspect;
+}
+
+/* Passes news on to a few members, as long as there is any. */
+void membership_gossip(struct membership *membership, int64_t now_ms)
+{
+	struct member_filter filter = {membership->self, is_gossip_partner};
+	struct member *partners[GOSSIP_FANOUT];
+	uint32_t count;
+
+	if (now_ms < membership->next_gossip_ms)
+		return;
+	membership->next_gossip_ms =
+		now_ms +
+		membership->options.probe_interval_ms / GOSSIP_INTERVAL_DIVISOR;
+	count = member_table_choose(membership->table, membership->rand,
+				    &filter, partners, GOSSIP_FANOUT);
+	for (uint32_t i = 0; i < count; i++) {
+		struct member_message message = {.kind = MEMBER_GOSSIP};
+
+		add_news(membership, &message);
+		if (message.update_count == 0)
+			return;
+		membership_send(membership, partners[i]->node.node_id,
+				&partners[i]->node.control, &message);
+	}
+}
--- /dev/null
+++ b/core/src/membership_sync.c
@@ -0,0 +1,151 @@
+#include "membership_state.h"
+
+#define SYNC_INTERVALS 10
+#define HINT_INTERVALS 30
+#define QUIET_INTERVALS 2
+
+/* Asks a node for its whole view and introduces this node to it. */
+void membership_request_sync(struct membership *membership, uint64_t to_node_id,
+			     const struct endpoint *to)
+{
+	struct member_message message = {.kind = MEMBER_SYNC_REQUEST,
+					 .update_count = 1};
+
+	message.updates[0] = member_to_full_update(membership->self);
+	membership_send(membership, to_node_id, to, &message);
+}
+
+/* A page being filled; it is sent when it is full. */
+struct page_writer {
+	struct membership *membership;
+	uint64_t to_node_id;
+	const struct endpoint *to;
+	struct member_message message;
+};
+
+static void send_page(struct page_writer *writer)
+{
+	membership_send(writer->membership, writer->to_node_id, writer->to,
+			&writer->message);
+	writer->message.page_index++;
+	writer->message.update_count = 0;
+}
+
+static void add_to_page(struct page_writer *writer,
+			const struct member_update *update)
+{
+	struct member_message *message = &writer->message;
+
+	if (message->update_count == MEMBER_PAGE_UPDATES_MAX)
+		send_page(writer);
+	message->updates[message->update_count++] = *update;
+}
+
+static uint32_t count_updates(const struct member_table *table)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < member_table_count(table); i++)
+		count += 1 + member_table_at(table, i)->is_suspect;
+	return count;
+}
+
+static void add_member(struct page_writer *writer, const struct member *member)
+{
+	struct member_update full = member_to_full_update(member);
+	struct member_update news = member_to_update(member);
+
+	if (member_is_live(member))
+		add_to_page(writer, &full);
+	if (!member_is_live(member) || member->is_suspect)
+		add_to_page(writer, &news);
+}
+
+/* Sends the whole view, in as many pages as it takes. */
+void membership_on_sync_request(struct membership *membership,
+				uint64_t from_node_id,
+				const struct endpoint *from)
+{
+	struct member_table *table = membership->table;
+	struct page_writer writer = {
+		.membership = membership,
+		.to_node_id = from_node_id,
+		.to = from,
+		.message = {.kind = MEMBER_SYNC_PAGE},
+	};
+	uint32_t count = count_updates(table);
+
+	if (membership->phase == SELF_VERIFYING)
+		return;
+	writer.message.page_count =
+		(count + MEMBER_PAGE_UPDATES_MAX - 1) / MEMBER_PAGE_UPDATES_MAX;
+	for (uint32_t i = 0; i < member_table_count(table); i++)
+		add_member(&writer, member_table_at(table, i));
+	if (writer.message.update_count > 0)
+		send_page(&writer);
+}
+
+/*
+ * Asks for the whole view of a node that has settled on another one. Views in
+ * motion differ all the time, so this waits until ours has been quiet.
+ */
+void membership_on_digest(struct membership *membership, uint64_t from_node_id,
+			  const struct endpoint *from, uint64_t digest,
+			  int64_t now_ms)
+{
+	uint32_t interval_ms = membership->options.probe_interval_ms;
+
+	if (digest == membership->digest || now_ms < membership->next_sync_ms ||
+	    now_ms - membership->changed_ms <
+		    (int64_t)QUIET_INTERVALS * interval_ms)
+		return;
+	membership->next_sync_ms =
+		now_ms + (int64_t)SYNC_INTERVALS * interval_ms;
+	membership_request_sync(membership, from_node_id, from);
+}
+
+static bool is_known(const struct membership *membership,
+		     const struct endpoint *endpoint)
+{
+	for (uint32_t i = 0; i < member_table_count(membership->table); i++) {
+		const struct member *member =
+			member_table_at(membership->table, i);
+
+		if (member_is_live(member) &&
+		    endpoint_equal(&member->node.control, endpoint))
+			return true;
+	}
+	return false;
+}
+
+/* Asks one address, where no known member is, for its view. */
+void membership_ask_hint(struct membership *membership)
+{
+	guint count = membership->hints->len;
+	guint first;
+
+	if (count == 0)
+		return;
+	first = (guint)g_rand_int_range(membership->rand, 0, (gint32)count);
+	for (guint i = 0; i < count; i++) {
+		const struct endpoint *hint =
+			&g_array_index(membership->hints, struct endpoint,
+				       (first + i) % count);
+
+		if (is_known(membership, hint))
+			continue;
+		membership_request_sync(membership, NODE_NONE, hint);
+		return;
+	}
+}
+
+/* Now and then looks for members that a partition may have hidden. */
+void membership_hint_tick(struct membership *membership, int64_t now_ms)
+{
+	if (now_ms < membership->next_hint_ms)
+		return;
+	membership->next_hint_ms =
+		now_ms +
+		(int64_t)HINT_INTERVALS * membership->options.probe_interval_ms;
+	membership_ask_hint(membership);
+}
--- /dev/null
+++ b/core/src/zone_watch.c
@@ -0,0 +1,121 @@
+#include "zone_watch.h"
+
+/* A zone of one node cannot be told from that node. */
+#define ZONE_MEMBER_COUNT_MIN 2
+
+/* Cut above one half suspect; healed at one quarter, against flapping. */
+#define CUT_DIVISOR 2
+#define HEAL_DIVISOR 4
+
+struct zone_watch {
+	GHashTable *cut_since_ms;
+	uint32_t hold_ms;
+};
+
+/* How many serving members a zone has, and how many of them are suspect. */
+struct zone_tally {
+	uint32_t member_count;
+	uint32_t suspect_count;
+};
+
+/*
+ * Makes a watch that gives a cut zone up after hold_ms. The caller frees it
+ * with zone_watch_free.
+ */
+struct zone_watch *zone_watch_new(uint32_t hold_ms)
+{
+	struct zone_watch *watch = g_new0(struct zone_watch, 1);
+
+	watch->hold_ms = hold_ms;
+	watch->cut_since_ms = g_hash_table_new_full(
+		g_direct_hash, g_direct_equal, NULL, g_free);
+	return watch;
+}
+
+/* Frees a watch; NULL is allowed. */
+void zone_watch_free(struct zone_watch *watch)
+{
+	if (!watch)
+		return;
+	g_hash_table_destroy(watch->cut_since_ms);
+	g_free(watch);
+}
+
+static int64_t *since_of(const struct zone_watch *watch, uint32_t zone_id)
+{
+	return g_hash_table_lookup(watch->cut_since_ms,
+				   GUINT_TO_POINTER(zone_id));
+}
+
+/* Tells whether the members of the zone are being held. */
+bool zone_watch_is_cut(const struct zone_watch *watch, uint32_t zone_id)
+{
+	return since_of(watch, zone_id) != NULL;
+}
+
+static struct zone_tally tally(const struct member_table *table,
+			       uint32_t zone_id)
+{
+	struct zone_tally zone = {.member_count = 0};
+
+	for (uint32_t i = 0; i < member_table_count(table); i++) {
+		const struct member *member = member_table_at(table, i);
+
+		if (member->node.zone_id != zone_id ||
+		    member->node.state != NODE_SERVING)
+			continue;
+		zone.member_count++;
+		zone.suspect_count += member->is_suspect;
+	}
+	return zone;
+}
+
+static enum zone_change cut(struct zone_watch *watch, uint32_t zone_id,
+			    int64_t now_ms)
+{
+	int64_t *since_ms = g_new(int64_t, 1);
+
+	*since_ms = now_ms;
+	g_hash_table_insert(watch->cut_since_ms, GUINT_TO_POINTER(zone_id),
+			    since_ms);
+	return ZONE_CUT;
+}
+
+/*
+ * Judges a zone anew; to be called when a suspicion of one of its members
+ * begins or ends, and now and then to see whether its time is up.
+ */
+enum zone_change zone_watch_update(struct zone_watch *watch,
+				   const struct member_table *table,
+				   uint32_t zone_id, int64_t now_ms)
+{
+	struct zone_tally zone = tally(table, zone_id);
+	const int64_t *since_ms = since_of(watch, zone_id);
+	enum zone_change change;
+
+	if (!since_ms) {
+		if (zone.member_count < ZONE_MEMBER_COUNT_MIN ||
+		    zone.suspect_count * CUT_DIVISOR <= zone.member_count)
+			return ZONE_UNCHANGED;
+		return cut(watch, zone_id, now_ms);
+	}
+	if (zone.suspect_count * HEAL_DIVISOR <= zone.member_count)
+		change = ZONE_HEALED;
+	else if (now_ms - *since_ms >= watch->hold_ms)
+		change = ZONE_LOST;
+	else
+		return ZONE_UNCHANGED;
+	g_hash_table_remove(watch->cut_since_ms, GUINT_TO_POINTER(zone_id));
+	return change;
+}
+
+/* Begins each hold anew, for a node whose own pause used up the time. */
+void zone_watch_restart(struct zone_watch *watch, int64_t now_ms)
+{
+	GHashTableIter iter;
+	int64_t *since_ms;
+
+	g_hash_table_iter_init(&iter, watch->cut_since_ms);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&since_ms))
+		*since_ms = now_ms;
+}
--- /dev/null
+++ b/core/src/zone_watch.h
@@ -0,0 +1,27 @@
+#ifndef ZONE_WATCH_H
+#define ZONE_WATCH_H
+
+#include "member_table.h"
+
+enum zone_change {
+	ZONE_UNCHANGED,
+	ZONE_CUT,
+	ZONE_HEALED,
+	ZONE_LOST,
+};
+
+/*
+ * Which zones are cut off: most of their members are suspect at once. Their
+ * members are held as suspects rather than declared dead one by one.
+ */
+struct zone_watch;
+
+struct zone_watch *zone_watch_new(uint32_t hold_ms);
+void zone_watch_free(struct zone_watch *watch);
+bool zone_watch_is_cut(const struct zone_watch *watch, uint32_t zone_id);
+enum zone_change zone_watch_update(struct zone_watch *watch,
+				   const struct member_table *table,
+				   uint32_t zone_id, int64_t now_ms);
+void zone_watch_restart(struct zone_watch *watch, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/core/test/membership_test.c
@@ -0,0 +1,368 @@
+/* Memberships of a fleet under the faults of a table, on a virtual clock. */
+#include <fakes/member_fleet.h>
+#include <fakes/test_main.h>
+#include <string.h>
+
+#define INSTANCE_COUNT_MAX 64
+#define SEED_COUNT 3
+#define ANY UINT32_MAX
+
+enum action {
+	ACT_START,
+	ACT_KILL,
+	ACT_LEAVE,
+	ACT_STOP,
+	ACT_PAUSE,
+	ACT_WAKE,
+	ACT_CUT_ZONE,
+	ACT_JOIN_ZONE,
+	ACT_CUT_TO,
+	ACT_JOIN_TO,
+	ACT_CUT_OFF,
+	ACT_REJOIN,
+	ACT_SET_LOSS,
+	ACT_COUNT,
+};
+
+/* An action on one place or zone, or from place a to place b. */
+struct step {
+	const char *row;
+	int64_t at_ms;
+	enum action action;
+	uint32_t a;
+	uint32_t b;
+};
+
+/*
+ * A fleet, and bounds on what its nodes report in sum. A false death is one of
+ * a node that runs and is not paused; homes change when a node that nothing is
+ * done to sees another set of serving nodes.
+ */
+struct row {
+	const char *name;
+	uint32_t node_count;
+	uint32_t zone_count;
+	uint32_t end_ms;
+	uint32_t false_death_max;
+	uint32_t died_min;
+	uint32_t zone_cut_min;
+	uint32_t declared_dead_min;
+	uint32_t home_change_max;
+};
+
+static const struct row rows[] = {
+	{"join-eight", 8, 4, 10000, 0, 0, 0, 0, 0},
+	{"join-one", 7, 4, 30000, 0, 0, 0, 0, 1},
+	{"leave", 8, 4, 30000, 0, 0, 0, 0, 1},
+	{"stop-without-leaving", 8, 4, 23000, 0, 0, 0, 0, 1},
+	{"death", 8, 4, 35000, 0, 7, 0, 0, 1},
+	{"two-deaths-in-two-zones", 8, 4, 35000, 0, 12, 0, 0, 2},
+	{"death-and-restart-in-place", 8, 4, 35000, 0, 0, 0, 0, 2},
+	{"restart-twice", 8, 4, 35000, 0, 0, 0, 0, 3},
+	{"pause-short", 8, 4, 35000, 0, 0, 0, 0, 0},
+	{"pause-and-wake", 8, 4, 65000, 0, 7, 0, 1, 2},
+	{"pause-longer-than-remembered", 8, 4, 760000, 0, 7, 0, 1, 2},
+	{"pause-twice", 8, 4, 105000, 0, 7, 0, 1, 4},
+	{"loss-5-percent", 16, 4, 640000, 0, 0, 0, 0, 0},
+	{"loss-30-percent", 16, 4, 640000, 0, 0, 0, 0, 0},
+	{"death-at-30-percent-loss", 16, 4, 80000, 0, 15, 0, 0, 1},
+	{"one-way-cut", 8, 4, 100000, 0, 0, 0, 0, 0},
+	{"node-cut-off-and-back", 8, 4, 90000, 7, 7, 0, 1, 2},
+	{"zone-cut-and-healed", 8, 4, 170000, 0, 0, 6, 0, 0},
+	{"zone-cut-thrice", 16, 4, 120000, 0, 0, 12, 0, 0},
+	{"zone-cut-longer-than-held", 8, 4, 960000, ANY, 12, 6, 0, ANY},
+	{"node-dies-while-zone-is-cut", 16, 4, 100000, 0, 12, 12, 0, 1},
+	{"node-leaves-while-zone-is-cut", 16, 4, 100000, 0, 0, 12, 0, 1},
+	{"zone-cut-at-5-percent-loss", 16, 4, 200000, 0, 0, 12, 0, 0},
+};
+
+/* What is done in a row, in order of time. */
+static const struct step steps[] = {
+	{"join-one", 20000, ACT_START, 7, 0},
+	{"leave", 20000, ACT_LEAVE, 3, 0},
+	{"leave", 25000, ACT_STOP, 3, 0},
+	{"stop-without-leaving", 20000, ACT_STOP, 3, 0},
+	{"death", 20000, ACT_KILL, 3, 0},
+	{"two-deaths-in-two-zones", 20000, ACT_KILL, 3, 0},
+	{"two-deaths-in-two-zones", 20000, ACT_KILL, 4, 0},
+	{"death-and-restart-in-place", 20000, ACT_KILL, 3, 0},
+	{"death-and-restart-in-place", 20100, ACT_START, 3, 0},
+	{"restart-twice", 20000, ACT_START, 3, 0},
+	{"restart-twice", 20700, ACT_START, 3, 0},
+	{"pause-short", 20000, ACT_PAUSE, 3, 0},
+	{"pause-short", 21500, ACT_WAKE, 3, 0},
+	{"pause-and-wake", 20000, ACT_PAUSE, 3, 0},
+	{"pause-and-wake", 50000, ACT_WAKE, 3, 0},
+	{"pause-longer-than-remembered", 20000, ACT_PAUSE, 3, 0},
+	{"pause-longer-than-remembered", 700000, ACT_WAKE, 3, 0},
+	{"pause-twice", 20000, ACT_PAUSE, 3, 0},
+	{"pause-twice", 50000, ACT_WAKE, 3, 0},
+	{"pause-twice", 50100, ACT_PAUSE, 3, 0},
+	{"pause-twice", 90000, ACT_WAKE, 3, 0},
+	{"loss-5-percent", 20000, ACT_SET_LOSS, 50000, 0},
+	{"loss-5-percent", 620000, ACT_SET_LOSS, 0, 0},
+	{"loss-30-percent", 20000, ACT_SET_LOSS, 300000, 0},
+	{"loss-30-percent", 620000, ACT_SET_LOSS, 0, 0},
+	{"death-at-30-percent-loss", 20000, ACT_SET_LOSS, 300000, 0},
+	{"death-at-30-percent-loss", 30000, ACT_KILL, 3, 0},
+	{"death-at-30-percent-loss", 60000, ACT_SET_LOSS, 0, 0},
+	{"one-way-cut", 20000, ACT_CUT_TO, 2, 5},
+	{"one-way-cut", 80000, ACT_JOIN_TO, 2, 5},
+	{"node-cut-off-and-back", 20000, ACT_CUT_OFF, 3, 0},
+	{"node-cut-off-and-back", 60000, ACT_REJOIN, 3, 0},
+	{"zone-cut-and-healed", 20000, ACT_CUT_ZONE, 1, 0},
+	{"zone-cut-and-healed", 140000, ACT_JOIN_ZONE, 1, 0},
+	{"zone-cut-thrice", 20000, ACT_CUT_ZONE, 1, 0},
+	{"zone-cut-thrice", 40000, ACT_JOIN_ZONE, 1, 0},
+	{"zone-cut-thrice", 50000, ACT_CUT_ZONE, 1, 0},
+	{"zone-cut-thrice", 70000, ACT_JOIN_ZONE, 1, 0},
+	{"zone-cut-thrice", 72000, ACT_CUT_ZONE, 1, 0},
+	{"zone-cut-thrice", 90000, ACT_JOIN_ZONE, 1, 0},
+	{"zone-cut-longer-than-held", 20000, ACT_CUT_ZONE, 1, 0},
+	{"zone-cut-longer-than-held", 900000, ACT_JOIN_ZONE, 1, 0},
+	{"node-dies-while-zone-is-cut", 20000, ACT_CUT_ZONE, 1, 0},
+	{"node-dies-while-zone-is-cut", 30000, ACT_KILL, 5, 0},
+	{"node-dies-while-zone-is-cut", 60000, ACT_JOIN_ZONE, 1, 0},
+	{"node-leaves-while-zone-is-cut", 20000, ACT_CUT_ZONE, 1, 0},
+	{"node-leaves-while-zone-is-cut", 30000, ACT_STOP, 2, 0},
+	{"node-leaves-while-zone-is-cut", 60000, ACT_JOIN_ZONE, 1, 0},
+	{"zone-cut-at-5-percent-loss", 15000, ACT_SET_LOSS, 50000, 0},
+	{"zone-cut-at-5-percent-loss", 20000, ACT_CUT_ZONE, 1, 0},
+	{"zone-cut-at-5-percent-loss", 140000, ACT_JOIN_ZONE, 1, 0},
+};
+
+/* What the nodes of a run reported. */
+struct run {
+	const struct row *row;
+	struct member_fleet *fleet;
+	bool is_paused[INSTANCE_COUNT_MAX];
+	bool is_measuring;
+	uint32_t false_death_count;
+	uint32_t event_counts[MEMBER_EVENT_KIND_COUNT];
+	uint64_t home_digests[INSTANCE_COUNT_MAX];
+	uint32_t home_change_counts[INSTANCE_COUNT_MAX];
+	bool has_decided_dead;
+};
+
+static bool is_awake(const struct run *run, uint64_t node_id)
+{
+	for (uint32_t i = 0; i < INSTANCE_COUNT_MAX; i++) {
+		if (member_fleet_node_id(run->fleet, i) == node_id)
+			return member_fleet_is_running(run->fleet, i) &&
+			       !run->is_paused[i];
+	}
+	return false;
+}
+
+static void on_event(void *context, uint32_t instance,
+		     const struct member_event *event)
+{
+	struct run *run = context;
+
+	if (!run->is_measuring)
+		return;
+	run->event_counts[event->kind]++;
+	if (event->kind == MEMBER_EVENT_DIED && is_awake(run, event->node_id))
+		run->false_death_count++;
+}
+
+/* Homes are kept on nodes that serve, whether suspect or not. */
+static uint64_t home_digest(const struct node_view *view)
+{
+	uint64_t digest = 0;
+
+	for (uint32_t i = 0; i < node_view_count(view); i++) {
+		const struct node *node = node_view_at(view, i);
+
+		if (node->state == NODE_SERVING || node->state == NODE_SUSPECT)
+			digest ^= node_rank_score(node->node_id, 0);
+	}
+	return digest;
+}
+
+static void on_view(void *context, uint32_t instance,
+		    const struct node_view *view)
+{
+	struct run *run = context;
+	uint64_t digest = home_digest(view);
+
+	if (run->is_measuring && digest != run->home_digests[instance])
+		run->home_change_counts[instance]++;
+	run->home_digests[instance] = digest;
+}
+
+static void set_cut(struct run *run, uint32_t a, uint32_t b, bool is_cut)
+{
+	driver_link(member_fleet_driver(run->fleet), a, b)->is_cut = is_cut;
+}
+
+static void set_cut_off(struct run *run, uint32_t a, bool is_cut)
+{
+	for (uint32_t b = 0; b < INSTANCE_COUNT_MAX; b++) {
+		if (a == b)
+			continue;
+		set_cut(run, a, b, is_cut);
+		set_cut(run, b, a, is_cut);
+	}
+}
+
+static void act_start(struct run *run, const struct step *step)
+{
+	member_fleet_start(run->fleet, step->a);
+}
+
+static void act_kill(struct run *run, const struct step *step)
+{
+	member_fleet_kill(run->fleet, step->a);
+}
+
+static void act_leave(struct run *run, const struct step *step)
+{
+	member_fleet_leave(run->fleet, step->a);
+}
+
+static void act_stop(struct run *run, const struct step *step)
+{
+	member_fleet_stop(run->fleet, step->a);
+}
+
+static void act_pause(struct run *run, const struct step *step)
+{
+	run->is_paused[step->a] = step->action == ACT_PAUSE;
+	member_fleet_pause(run->fleet, step->a, step->action == ACT_PAUSE);
+}
+
+static void act_zone(struct run *run, const struct step *step)
+{
+	member_fleet_cut_zone(run->fleet, step->a,
+			      step->action == ACT_CUT_ZONE);
+}
+
+static void act_link(struct run *run, const struct step *step)
+{
+	set_cut(run, step->a, step->b, step->action == ACT_CUT_TO);
+}
+
+static void act_cut_off(struct run *run, const struct step *step)
+{
+	set_cut_off(run, step->a, step->action == ACT_CUT_OFF);
+}
+
+static void act_set_loss(struct run *run, const struct step *step)
+{
+	for (uint32_t a = 0; a < INSTANCE_COUNT_MAX; a++) {
+		for (uint32_t b = 0; b < INSTANCE_COUNT_MAX; b++)
+			driver_link(member_fleet_driver(run->fleet), a, b)
+				->loss_ppm = step->a;
+	}
+}
+
+static void (*const actions[ACT_COUNT])(struct run *, const struct step *) = {
+	[ACT_START] = act_start,       [ACT_KILL] = act_kill,
+	[ACT_LEAVE] = act_leave,       [ACT_STOP] = act_stop,
+	[ACT_PAUSE] = act_pause,       [ACT_WAKE] = act_pause,
+	[ACT_CUT_ZONE] = act_zone,     [ACT_JOIN_ZONE] = act_zone,
+	[ACT_CUT_TO] = act_link,       [ACT_JOIN_TO] = act_link,
+	[ACT_CUT_OFF] = act_cut_off,   [ACT_REJOIN] = act_cut_off,
+	[ACT_SET_LOSS] = act_set_loss,
+};
+
+#define START_MS 15000
+
+static void run_row(struct run *run, uint64_t seed)
+{
+	const struct row *row = run->row;
+	struct member_fleet_options options = {
+		.instance_count = INSTANCE_COUNT_MAX,
+		.node_count = row->node_count,
+		.zone_count = row->zone_count,
+		.seed = seed,
+		.link = {.delay_ms = 1, .jitter_ms = 2, .duplicate_ppm = 10000},
+		.context = run,
+		.event = on_event,
+		.view_changed = on_view,
+	};
+	struct driver *driver;
+
+	run->fleet = member_fleet_new(&options);
+	driver = member_fleet_driver(run->fleet);
+	driver_run_until(driver, MIN(START_MS, row->end_ms));
+	run->is_measuring = true;
+	for (uint32_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+		const struct step *step = &steps[i];
+
+		if (strcmp(step->row, row->name) != 0)
+			continue;
+		driver_run_until(driver, step->at_ms);
+		actions[step->action](run, step);
+	}
+	driver_run_until(driver, row->end_ms);
+}
+
+static uint32_t home_change_max(const struct run *run)
+{
+	uint32_t most = 0;
+
+	for (uint32_t i = 0; i < run->row->node_count; i++) {
+		bool is_acted_on = false;
+
+		for (uint32_t s = 0; s < G_N_ELEMENTS(steps); s++)
+			is_acted_on |=
+				steps[s].a == i &&
+				strcmp(steps[s].row, run->row->name) == 0;
+		if (!is_acted_on)
+			most = MAX(most, run->home_change_counts[i]);
+	}
+	return most;
+}
+
+static void check_run(const struct run *run, uint64_t seed)
+{
+	const struct row *row = run->row;
+	const uint32_t *counts = run->event_counts;
+
+	ck_assert_msg(member_fleet_is_converged(run->fleet),
+		      "%s, seed %u: views differ", row->name, (unsigned)seed);
+	ck_assert_msg(run->false_death_count <= row->false_death_max,
+		      "%s, seed %u: %u false deaths", row->name, (unsigned)seed,
+		      run->false_death_count);
+	ck_assert_msg(counts[MEMBER_EVENT_DIED] >= row->died_min,
+		      "%s, seed %u: %u deaths", row->name, (unsigned)seed,
+		      counts[MEMBER_EVENT_DIED]);
+	ck_assert_msg(counts[MEMBER_EVENT_ZONE_CUT] >= row->zone_cut_min,
+		      "%s, seed %u: %u saw the cut", row->name, (unsigned)seed,
+		      counts[MEMBER_EVENT_ZONE_CUT]);
+	ck_assert_msg(counts[MEMBER_EVENT_DECLARED_DEAD] >=
+			      row->declared_dead_min,
+		      "%s, seed %u: %u were told", row->name, (unsigned)seed,
+		      counts[MEMBER_EVENT_DECLARED_DEAD]);
+	ck_assert_msg(home_change_max(run) <= row->home_change_max,
+		      "%s, seed %u: homes changed %u times", row->name,
+		      (unsigned)seed, home_change_max(run));
+}
+
+START_TEST(test_fleet)
+{
+	const struct row *row = &rows[_i];
+
+	test_row("membership", row->name);
+	for (uint64_t seed = 1; seed <= SEED_COUNT; seed++) {
+		struct run run = {.row = row};
+
+		run_row(&run, seed);
+		check_run(&run, seed);
+		member_fleet_free(run.fleet);
+	}
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("membership");
+	TCase *tcase = tcase_create("fleet");
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(tcase, test_fleet, 0, G_N_ELEMENTS(rows));
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
--- /dev/null
+++ b/fakes/include/fakes/member_fleet.h
@@ -0,0 +1,58 @@
+#ifndef FAKES_MEMBER_FLEET_H
+#define FAKES_MEMBER_FLEET_H
+
+#include <core/membership.h>
+#include <fakes/driver.h>
+
+/*
+ * The memberships of many nodes over one driver. Messages go through the wire
+ * codec, so that their bytes are counted as they would be sent. instance_count
+ * bounds the nodes that ever run; node_count of them run from the start,
+ * spread evenly over the zones.
+ */
+struct member_fleet;
+
+struct member_fleet_options {
+	uint32_t instance_count;
+	uint32_t node_count;
+	uint32_t zone_count;
+	uint64_t seed;
+	struct driver_link link;
+	struct membership_options membership;
+	void *context;
+	void (*event)(void *context, uint32_t instance,
+		      const struct member_event *event);
+	void (*view_changed)(void *context, uint32_t instance,
+			     const struct node_view *view);
+};
+
+struct member_fleet *
+member_fleet_new(const struct member_fleet_options *options);
+void member_fleet_free(struct member_fleet *fleet);
+struct driver *member_fleet_driver(struct member_fleet *fleet);
+void member_fleet_start(struct member_fleet *fleet, uint32_t instance);
+void member_fleet_kill(struct member_fleet *fleet, uint32_t instance);
+void member_fleet_leave(struct member_fleet *fleet, uint32_t instance);
+void member_fleet_stop(struct member_fleet *fleet, uint32_t instance);
+void member_fleet_pause(struct member_fleet *fleet, uint32_t instance,
+			bool is_paused);
+void member_fleet_cut_zone(struct member_fleet *fleet, uint32_t zone,
+			   bool is_cut);
+uint32_t member_fleet_zone(const struct member_fleet *fleet, uint32_t instance);
+uint64_t member_fleet_node_id(const struct member_fleet *fleet,
+			      uint32_t instance);
+const struct node_view *member_fleet_view(const struct member_fleet *fleet,
+					  uint32_t instance);
+enum node_state member_fleet_state(const struct member_fleet *fleet,
+				   uint32_t viewer, uint32_t instance);
+uint32_t member_fleet_serving_count(const struct member_fleet *fleet,
+				    uint32_t viewer);
+bool member_fleet_is_running(const struct member_fleet *fleet,
+			     uint32_t instance);
+bool member_fleet_is_converged(const struct member_fleet *fleet);
+uint64_t member_fleet_sent_bytes(const struct member_fleet *fleet,
+				 uint32_t instance);
+uint64_t member_fleet_received_bytes(const struct member_fleet *fleet,
+				     uint32_t instance);
+
+#endif
--- /dev/null
+++ b/wire/x/members.x
@@ -0,0 +1,38 @@
+/*
+ * Bodies of the membership procedures, version 1. The kind of a message is its
+ * procedure number. Later versions append to the message; readers ignore what
+ * follows the fields they know.
+ */
+const MEMBER_WIRE_ADDRESS_BYTES_MAX = 16;
+const MEMBER_WIRE_UPDATES_MAX = 64;
+
+/* A node's description of itself. An empty packets address: as control. */
+struct member_wire_full {
+	unsigned hyper node_id;
+	unsigned int incarnation;
+	unsigned int state;
+	unsigned int zone_id;
+	unsigned int ports;
+	opaque control_address<MEMBER_WIRE_ADDRESS_BYTES_MAX>;
+	opaque packets_address<MEMBER_WIRE_ADDRESS_BYTES_MAX>;
+	unsigned hyper feature_bits;
+};
+
+/* Another node's word that a node is suspect or dead. */
+struct member_wire_brief {
+	unsigned hyper node_id;
+	unsigned int incarnation;
+	unsigned int state;
+	unsigned hyper accuser_id;
+};
+
+struct member_wire_message {
+	unsigned int format_version;
+	unsigned int region_id;
+	unsigned int probe_id;
+	unsigned int pages;
+	unsigned hyper subject_id;
+	unsigned hyper view_digest;
+	member_wire_full full<MEMBER_WIRE_UPDATES_MAX>;
+	member_wire_brief brief<MEMBER_WIRE_UPDATES_MAX>;
+};
