--- a/core/include/core/rule.h
+++ b/core/include/core/rule.h
@@ -19,6 +19,7 @@
 struct rule {
 	struct service service;
 	uint32_t form;
+	/* 0 when it is not known. */
 	uint64_t generation;
 	uint32_t address_count;
 	struct endpoint *addresses;
