--- a/daemon/include/daemon/settings.h
+++ b/daemon/include/daemon/settings.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_SETTINGS_H
 #define DAEMON_SETTINGS_H
 
+#include <daemon/platform_settings.h>
 #include <daemon/request_settings.h>
 
 /* The settings of one shallotd, read from YAML; see docs/OPERATORS.md. */
@@ -19,6 +20,7 @@
 	uint32_t flow_capacity;
 	uint64_t flow_seed;
 	struct request_settings requests;
+	struct platform_settings platform;
 };
 
 struct settings *settings_read(const char *path, GError **error);
--- /dev/null
+++ b/daemon/src/config_store.c
@@ -0,0 +1,181 @@
+#include "config_store.h"
+
+#include <platform/kv_watch.h>
+#include <string.h>
+#include <wire/rules_document_codec.h>
+
+/* A watch that is silent for so long is opened anew. */
+#define WATCH_TIMEOUT_MS 60000
+
+/* last is what the newest answer held, with its modification revision. */
+struct config_store {
+	struct config_store_options options;
+	struct kv_watch *watch;
+	struct rules_document *last;
+	int64_t last_mod_revision;
+	int64_t store_revision;
+	bool is_reading;
+	bool is_writing;
+	bool is_watch_wanted;
+};
+
+/* Makes the access to one key; free it with config_store_free. */
+struct config_store *
+config_store_new(const struct config_store_options *options)
+{
+	struct config_store *store = g_new0(struct config_store, 1);
+
+	store->options = *options;
+	return store;
+}
+
+/* Frees it before the client; NULL is allowed. */
+void config_store_free(struct config_store *store)
+{
+	if (!store)
+		return;
+	kv_watch_free(store->watch);
+	rules_document_free(store->last);
+	g_free(store);
+}
+
+static void fail(struct config_store *store, const GError *error)
+{
+	store->options.on_failed(store->options.context,
+				 error ? error->message : "none");
+}
+
+static void take_entry(struct config_store *store, const struct kv_entry *entry)
+{
+	GError *error = NULL;
+	bool is_gone = !entry || entry->is_deleted;
+	struct rules_document *document =
+		rules_document_decode(is_gone ? "" : entry->value,
+				      is_gone ? 0 : entry->value_bytes, &error);
+
+	if (!document) {
+		fail(store, error);
+		g_error_free(error);
+		return;
+	}
+	rules_document_free(store->last);
+	store->last = document;
+	store->last_mod_revision = is_gone ? 0 : entry->mod_revision;
+	store->options.on_document(store->options.context, document);
+}
+
+/* Of several changes of the key only the last counts. */
+static void on_events(void *context, const struct kv_reply *reply)
+{
+	struct config_store *store = context;
+
+	store->store_revision =
+		MAX(store->store_revision, reply->store_revision);
+	take_entry(store, kv_reply_entry(reply, reply->entries->len - 1));
+}
+
+/* The next read, which watchers make often, opens the watch anew. */
+static void on_ended(void *context, bool is_compacted)
+{
+	struct config_store *store = context;
+
+	g_clear_pointer(&store->watch, kv_watch_free);
+}
+
+/* Watches from behind the last read, so that nothing falls in between. */
+static void open_watch(struct config_store *store)
+{
+	struct kv_watch_options options = {
+		.client = store->options.client,
+		.key = store->options.key,
+		.start_revision = store->store_revision + 1,
+		.timeout_ms = WATCH_TIMEOUT_MS,
+		.context = store,
+		.on_events = on_events,
+		.on_ended = on_ended,
+	};
+	GError *error = NULL;
+
+	store->watch = kv_watch_new(&options, &error);
+	if (store->watch)
+		return;
+	fail(store, error);
+	g_error_free(error);
+}
+
+static void on_read(void *context, enum kv_outcome outcome,
+		    const struct kv_reply *reply, const GError *error)
+{
+	struct config_store *store = context;
+
+	store->is_reading = false;
+	if (outcome != KV_DONE) {
+		fail(store, error);
+		return;
+	}
+	/* A store that went back is watched from where it now stands. */
+	if (reply->store_revision < store->store_revision)
+		g_clear_pointer(&store->watch, kv_watch_free);
+	store->store_revision = reply->store_revision;
+	take_entry(store, kv_reply_entry(reply, 0));
+	if (store->is_watch_wanted && !store->watch)
+		open_watch(store);
+}
+
+/* Starts a read unless one is on its way. */
+void config_store_read(struct config_store *store)
+{
+	struct kv_callback callback = {store, on_read};
+
+	if (store->is_reading)
+		return;
+	store->is_reading = true;
+	kv_client_range(store->options.client, store->options.key, false,
+			&callback);
+}
+
+/* Holds a watch from the next read on, or ends it. */
+void config_store_watch(struct config_store *store, bool is_wanted)
+{
+	store->is_watch_wanted = is_wanted;
+	if (is_wanted)
+		config_store_read(store);
+	else
+		g_clear_pointer(&store->watch, kv_watch_free);
+}
+
+/* Whatever became of the write, the next read shows it. */
+static void on_repaired(void *context, enum kv_outcome outcome,
+			const struct kv_reply *reply, const GError *error)
+{
+	struct config_store *store = context;
+
+	store->is_writing = false;
+	if (outcome != KV_DONE)
+		fail(store, error);
+	config_store_read(store);
+}
+
+/*
+ * Writes back what the store has lost, joined with what it holds now. The
+ * write is compared with the last read, so it never undoes another's.
+ */
+void config_store_repair(struct config_store *store,
+			 const struct rules_document *held)
+{
+	struct kv_callback callback = {store, on_repaired};
+	struct rules_document *joined;
+	char *text;
+
+	if (store->is_writing || !store->last)
+		return;
+	store->is_writing = true;
+	joined = rules_document_copy(store->last);
+	rules_document_join(joined, held);
+	text = rules_document_encode(joined);
+	kv_client_put_if(store->options.client, store->options.key,
+			 store->last_mod_revision, text, (uint32_t)strlen(text),
+			 0, &callback);
+	g_free(text);
+	rules_document_free(joined);
+}
--- /dev/null
+++ b/daemon/src/config_task.c
@@ -0,0 +1,435 @@
+#include <daemon/config_task.h>
+
+#include "config_counters.h"
+#include "config_store.h"
+#include "target_watch.h"
+#include "zone_reporter.h"
+
+#include <core/node_feature.h>
+#include <core/rules_gossip.h>
+#include <core/zone.h>
+#include <daemon/control_message.h>
+#include <daemon/metrics_message.h>
+#include <daemon/nodes_message.h>
+#include <daemon/ready_message.h>
+#include <daemon/rules_message.h>
+#include <daemon/target_state_message.h>
+#include <inttypes.h>
+#include <platform/vm_list_client.h>
+#include <task/log.h>
+#include <task/timer.h>
+#include <unistd.h>
+#include <wire/config_codec.h>
+#include <wire/config_report_codec.h>
+
+/* Full mailbox: peers repeat digests, and the sender counts the loss. */
+#define MAILBOX_CAPACITY 1024
+#define TICK_MS 200
+#define VM_LIST_INTERVAL_MS 1000
+
+struct config_task {
+	struct config_task_options options;
+	const struct settings *settings;
+	struct task *task;
+	struct log *log;
+	struct counter_set *counters;
+	struct timer *tick_timer;
+	struct timer *vm_timer;
+	char *rules_key;
+	struct kv_client *client;
+	struct config_store *store;
+	struct zone_reporter *reporter;
+	struct vm_list_client *vm_list;
+	struct target_watch *targets;
+	struct rules_gossip *gossip;
+	uint64_t publish_mask;
+	bool is_ready_told;
+};
+
+static bool post_or_free(struct task *task, struct message *message)
+{
+	if (task_post(task, message) == POST_TAKEN)
+		return true;
+	message_free(message);
+	return false;
+}
+
+/* Tells the tasks that have not been told; a full one is told next time. */
+static void publish(struct config_task *config)
+{
+	const struct rule_set *rules =
+		rules_replica_rules(rules_gossip_replica(config->gossip));
+
+	for (uint32_t i = 0; i < config->options.work_task_count; i++) {
+		uint64_t bit = (uint64_t)1 << i;
+
+		if ((config->publish_mask & bit) &&
+		    post_or_free(config->options.work_tasks[i],
+				 rules_message_new(rules)))
+			config->publish_mask &= ~bit;
+	}
+	if (!config->is_ready_told && config->publish_mask == 0 &&
+	    rules_gossip_is_known(config->gossip))
+		config->is_ready_told = post_or_free(config->options.admin,
+						     ready_message_new(true));
+}
+
+static void on_changed(void *context, const struct rule_set *rules)
+{
+	struct config_task *config = context;
+
+	log_write(config->log, LOG_LEVEL_NOTICE, "rules",
+		  "revision=%" PRIu64 " rules=%u", rule_set_revision(rules),
+		  rule_set_count(rules));
+	config->publish_mask =
+		((uint64_t)1 << config->options.work_task_count) - 1;
+	publish(config);
+	target_watch_set_rules(config->targets, rules);
+}
+
+static void on_send(void *context, uint64_t node_id,
+		    struct config_message *message)
+{
+	struct config_task *config = context;
+	GByteArray *bytes = config_codec_encode(message, NULL);
+	bool is_sent = bytes && config->options.control;
+
+	if (is_sent)
+		is_sent = post_or_free(
+			config->options.control,
+			control_message_new(
+				&control_out_type, node_id,
+				config_codec_procedure(message->kind),
+				bytes->data, bytes->len));
+	counter_set_add(
+		config->counters,
+		is_sent ? CONFIG_MESSAGES_SENT : CONFIG_MESSAGES_NOT_SENT, 1);
+	if (is_sent)
+		counter_set_add(config->counters, CONFIG_BYTES_SENT,
+				bytes->len);
+	if (bytes)
+		g_byte_array_free(bytes, TRUE);
+	config_message_free(message);
+}
+
+static void on_read_store(void *context)
+{
+	struct config_task *config = context;
+
+	config_store_read(config->store);
+}
+
+static void on_watch_store(void *context, bool is_wanted)
+{
+	struct config_task *config = context;
+
+	config_store_watch(config->store, is_wanted);
+}
+
+static void on_repair_store(void *context)
+{
+	struct config_task *config = context;
+
+	log_write(config->log, LOG_LEVEL_WARNING, "store_behind",
+		  "action=write_back");
+	counter_set_add(config->counters, CONFIG_STORE_REPAIRS, 1);
+	config_store_repair(
+		config->store,
+		rules_replica_document(rules_gossip_replica(config->gossip)));
+}
+
+static void on_report_zone(void *context)
+{
+	struct config_task *config = context;
+	GArray *reports = rules_gossip_reports(config->gossip);
+
+	zone_reporter_set(config->reporter, config_report_encode(reports));
+	g_array_free(reports, TRUE);
+}
+
+static void on_document(void *context, const struct rules_document *document)
+{
+	struct config_task *config = context;
+
+	rules_gossip_take_store(config->gossip, document, task_now_ms());
+	publish(config);
+}
+
+static void on_store_failed(void *context, const char *reason)
+{
+	struct config_task *config = context;
+
+	counter_set_add(config->counters, CONFIG_STORE_FAILURES, 1);
+	log_write(config->log, LOG_LEVEL_WARNING, "store_failed",
+		  "reason=\"%s\"", reason);
+}
+
+static void on_vm_list(void *context, const GArray *list, const GError *error)
+{
+	struct config_task *config = context;
+
+	if (list)
+		target_watch_take_list(config->targets, list);
+	else
+		log_write(config->log, LOG_LEVEL_WARNING, "vm_list_failed",
+			  "reason=\"%s\"", error->message);
+}
+
+static void on_target_state(void *context, uint64_t target_id,
+			    enum target_state state)
+{
+	struct config_task *config = context;
+
+	log_write(config->log, LOG_LEVEL_NOTICE, "target",
+		  "target=%016" PRIx64 " state=%s", target_id,
+		  target_state_name(state));
+	for (uint32_t i = 0; i < config->options.work_task_count; i++)
+		post_or_free(config->options.work_tasks[i],
+			     target_state_message_new(target_id, state));
+}
+
+static void on_tick(void *context)
+{
+	struct config_task *config = context;
+	int64_t now_ms = task_now_ms();
+
+	rules_gossip_tick(config->gossip, now_ms);
+	zone_reporter_tick(config->reporter, now_ms);
+	publish(config);
+}
+
+static void on_vm_timer(void *context)
+{
+	struct config_task *config = context;
+
+	vm_list_client_read(config->vm_list);
+}
+
+static bool open_store(struct config_task *config, struct task *task,
+		       GError **error)
+{
+	const struct platform_settings *platform = &config->settings->platform;
+	struct kv_client_options client_options = {
+		.base = task_base(task),
+		.server = platform->store,
+		.token_file = platform->token_file,
+		.timeout_ms = platform->timeout_ms,
+	};
+	struct config_store_options store_options = {
+		.context = config,
+		.on_document = on_document,
+		.on_failed = on_store_failed,
+	};
+	char *report_key = g_strdup_printf(
+		"%s/status/%s/%s", platform->key_prefix,
+		config->settings->region, config->settings->zone);
+
+	config->client = kv_client_new(&client_options, error);
+	if (config->client) {
+		config->rules_key =
+			g_strdup_printf("%s/rules", platform->key_prefix);
+		store_options.client = config->client;
+		store_options.key = config->rules_key;
+		config->store = config_store_new(&store_options);
+		config->reporter =
+			zone_reporter_new(config->client, report_key);
+	}
+	g_free(report_key);
+	return config->client != NULL;
+}
+
+static void open_vm_list(struct config_task *config, struct task *task)
+{
+	const struct platform_settings *platform = &config->settings->platform;
+	struct target_watch_options watch_options = {
+		.context = config, .on_state = on_target_state};
+	struct vm_list_client_options options = {
+		.base = task_base(task),
+		.server = platform->vm_list,
+		.path = platform->vm_list_path,
+		.timeout_ms = platform->timeout_ms,
+		.context = config,
+		.on_list = on_vm_list,
+	};
+
+	config->targets = target_watch_new(&watch_options);
+	if (platform->vm_list.port == 0)
+		return;
+	config->vm_list = vm_list_client_new(&options);
+	config->vm_timer = timer_new(task, config, on_vm_timer);
+	timer_every(config->vm_timer, VM_LIST_INTERVAL_MS);
+}
+
+static void start_gossip(struct config_task *config)
+{
+	struct rules_gossip_options options = {
+		.self_id = config->options.node_id,
+		.zone_id = zone_id_from_name(config->settings->zone),
+		.seed = (uint32_t)config->options.node_id,
+		.features = NODE_FEATURES,
+		.context = config,
+		.send = on_send,
+		.read_store = on_read_store,
+		.watch_store = on_watch_store,
+		.repair_store = on_repair_store,
+		.changed = on_changed,
+		.report_zone = on_report_zone,
+	};
+
+	config->gossip = rules_gossip_new(&options);
+}
+
+/* A node without peers sees only itself. */
+static void see_self(struct config_task *config)
+{
+	struct node self = {
+		.node_id = config->options.node_id,
+		.zone_id = zone_id_from_name(config->settings->zone),
+		.feature_bits = NODE_FEATURES,
+		.state = NODE_SERVING,
+	};
+	struct node_view *view = node_view_new(self.node_id, 1, &self, 1);
+
+	rules_gossip_set_nodes(config->gossip, view, task_now_ms());
+	node_view_free(view);
+}
+
+static bool start(void *context, struct task *task, GError **error)
+{
+	struct config_task *config = context;
+
+	if (!open_store(config, task, error))
+		return false;
+	open_vm_list(config, task);
+	start_gossip(config);
+	if (!config->options.control)
+		see_self(config);
+	config->tick_timer = timer_new(task, config, on_tick);
+	timer_every(config->tick_timer, TICK_MS);
+	return true;
+}
+
+static void take_control(struct config_task *config,
+			 const struct control_message *control)
+{
+	struct config_message *message =
+		config_codec_decode(control->procedure, control->bytes,
+				    control->length_bytes, NULL);
+
+	counter_set_add(config->counters,
+			message ? CONFIG_MESSAGES_RECEIVED
+				: CONFIG_MESSAGES_MALFORMED,
+			1);
+	if (!message)
+		return;
+	rules_gossip_receive(config->gossip, control->node_id, message,
+			     task_now_ms());
+	config_message_free(message);
+	publish(config);
+}
+
+static void take_nodes(struct config_task *config, struct message *message)
+{
+	struct node_view *view = nodes_message_take(message);
+
+	rules_gossip_set_nodes(config->gossip, view, task_now_ms());
+	node_view_free(view);
+}
+
+static void answer_metrics(struct config_task *config, struct message *message)
+{
+	const struct rules_replica *replica =
+		rules_gossip_replica(config->gossip);
+	const struct rule_set *rules = rules_replica_rules(replica);
+
+	counter_set_assign(config->counters, CONFIG_REVISION,
+			   rule_set_revision(rules));
+	counter_set_assign(config->counters, CONFIG_LINES,
+			   rule_set_count(rules));
+	counter_set_assign(config->counters, CONFIG_LINES_HELD,
+			   rules_replica_held_count(replica));
+	counter_set_assign(config->counters, CONFIG_STORE_CALLS,
+			   kv_client_call_count(config->client));
+	metrics_request_answer(message, config->counters);
+}
+
+static void handle(void *context, struct message *message)
+{
+	struct config_task *config = context;
+
+	if (message->type == &nodes_message_type)
+		take_nodes(config, message);
+	else if (message->type == &control_in_type)
+		take_control(config, (struct control_message *)message);
+	else if (message->type == &metrics_request_type)
+		answer_metrics(config, message);
+	message_free(message);
+}
+
+static void stop(void *context)
+{
+	struct config_task *config = context;
+
+	timer_free(config->tick_timer);
+	timer_free(config->vm_timer);
+	rules_gossip_free(config->gossip);
+	vm_list_client_free(config->vm_list);
+	target_watch_free(config->targets);
+	zone_reporter_free(config->reporter);
+	config_store_free(config->store);
+	kv_client_free(config->client);
+	g_free(config->rules_key);
+}
+
+/*
+ * Makes the task; it is started by its caller, which frees it with
+ * config_task_free. Starting fails when the store's token cannot be read.
+ */
+struct config_task *config_task_new(const struct config_task_options *options,
+				    GError **error)
+{
+	struct config_task *config = g_new0(struct config_task, 1);
+	struct task_options task_options = {
+		.name = "config",
+		.mailbox_capacity = MAILBOX_CAPACITY,
+		.context = config,
+		.start = start,
+		.handle = handle,
+		.stop = stop,
+	};
+	struct log_options log_options = {
+		.program = "shallotd",
+		.task = "config",
+		.level = (enum log_level)options->settings->log_level,
+		.rate_per_s = options->settings->log_rate_per_s,
+		.fd = STDERR_FILENO,
+	};
+
+	config->options = *options;
+	config->settings = options->settings;
+	config->log = log_new(&log_options);
+	config->counters =
+		counter_set_new(config_counter_rows, CONFIG_COUNTER_COUNT);
+	config->task = task_new(&task_options, error);
+	if (config->task)
+		return config;
+	config_task_free(config);
+	return NULL;
+}
+
+/* Stops the task and frees it; NULL is allowed. */
+void config_task_free(struct config_task *config)
+{
+	if (!config)
+		return;
+	task_free(config->task);
+	counter_set_free(config->counters);
+	log_free(config->log);
+	g_free(config);
+}
+
+/* Returns the task, to start it and to post messages to it. */
+struct task *config_task_task(struct config_task *config)
+{
+	return config->task;
+}
--- a/daemon/src/settings.c
+++ b/daemon/src/settings.c
@@ -236,5 +236,8 @@
 	g_free(settings->zone);
 	g_free(settings->region);
 	g_free(settings->rules_file);
+	g_free(settings->platform.vm_list_path);
+	g_free(settings->platform.token_file);
+	g_free(settings->platform.key_prefix);
 	g_free(settings);
 }
--- a/daemon/src/settings_schema.c
+++ b/daemon/src/settings_schema.c
@@ -57,6 +57,18 @@
 	 FLOW_CAPACITY_MAX, false, "300000"},
 	{"flows", "seed", SETTING_U64, AT(flow_seed), 0, UINT64_MAX, false,
 	 "0"},
+	{"platform", "store", SETTING_ENDPOINT, AT(platform.store), 0, 0, false,
+	 NULL},
+	{"platform", "vm_list", SETTING_ENDPOINT, AT(platform.vm_list), 0, 0,
+	 false, NULL},
+	{"platform", "vm_list_path", SETTING_TEXT, AT(platform.vm_list_path), 1,
+	 255, false, "/vms"},
+	{"platform", "token_file", SETTING_TEXT, AT(platform.token_file), 1,
+	 4095, false, NULL},
+	{"platform", "key_prefix", SETTING_TEXT, AT(platform.key_prefix), 1,
+	 255, false, "/shallotstream"},
+	{"platform", "timeout_ms", SETTING_U32, AT(platform.timeout_ms), 10,
+	 60000, false, "2000"},
 };
 const size_t settings_row_count = G_N_ELEMENTS(settings_rows);
 
--- /dev/null
+++ b/daemon/src/target_watch.c
@@ -0,0 +1,112 @@
+#include "target_watch.h"
+
+#include <wire/vm_list.h>
+
+/* leaving has the addresses of leaving VMs, posted the targets told of. */
+struct target_watch {
+	struct target_watch_options options;
+	struct rule_set *rules;
+	GHashTable *leaving;
+	GHashTable *posted;
+};
+
+static guint addr_hash(gconstpointer key)
+{
+	struct endpoint endpoint = {.addr = *(const struct ip_addr *)key};
+
+	return (guint)endpoint_hash(&endpoint, 0);
+}
+
+static gboolean addr_equal(gconstpointer a, gconstpointer b)
+{
+	return ip_addr_equal(a, b);
+}
+
+/* Makes a watch without rules; free it with target_watch_free. */
+struct target_watch *
+target_watch_new(const struct target_watch_options *options)
+{
+	struct target_watch *watch = g_new0(struct target_watch, 1);
+
+	watch->options = *options;
+	watch->rules = rule_set_new(0);
+	watch->leaving =
+		g_hash_table_new_full(addr_hash, addr_equal, g_free, NULL);
+	watch->posted = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					      g_free, NULL);
+	return watch;
+}
+
+/* Frees the watch; NULL is allowed. */
+void target_watch_free(struct target_watch *watch)
+{
+	if (!watch)
+		return;
+	rule_set_free(watch->rules);
+	g_hash_table_destroy(watch->leaving);
+	g_hash_table_destroy(watch->posted);
+	g_free(watch);
+}
+
+static void post(struct target_watch *watch, uint64_t target_id,
+		 enum target_state state)
+{
+	watch->options.on_state(watch->options.context, target_id, state);
+}
+
+/* Tells of a target whose state is another than was told last. */
+static void update_target(struct target_watch *watch,
+			  const struct target *target)
+{
+	bool is_leaving =
+		g_hash_table_contains(watch->leaving, &target->endpoint.addr);
+	bool was_leaving =
+		g_hash_table_contains(watch->posted, &target->target_id);
+
+	if (is_leaving == was_leaving)
+		return;
+	if (is_leaving)
+		g_hash_table_add(watch->posted,
+				 g_memdup2(&target->target_id,
+					   sizeof(target->target_id)));
+	else
+		g_hash_table_remove(watch->posted, &target->target_id);
+	post(watch, target->target_id,
+	     is_leaving ? TARGET_LEAVING : TARGET_SERVING);
+}
+
+static void update(struct target_watch *watch)
+{
+	for (uint32_t i = 0; i < rule_set_count(watch->rules); i++) {
+		const struct rule *rule = rule_set_at(watch->rules, i);
+
+		for (uint32_t j = 0; j < rule->target_count; j++)
+			update_target(watch, &rule->targets[j]);
+	}
+}
+
+/* Takes the rules in force; leaving targets are told of again. */
+void target_watch_set_rules(struct target_watch *watch,
+			    const struct rule_set *rules)
+{
+	rule_set_free(watch->rules);
+	watch->rules = rule_set_copy(rules);
+	g_hash_table_remove_all(watch->posted);
+	update(watch);
+}
+
+/* Takes a list of struct vm. */
+void target_watch_take_list(struct target_watch *watch, const GArray *list)
+{
+	for (guint i = 0; i < list->len; i++) {
+		const struct vm *vm = &g_array_index(list, struct vm, i);
+
+		if (vm->is_leaving)
+			g_hash_table_add(
+				watch->leaving,
+				g_memdup2(&vm->addr, sizeof(vm->addr)));
+		else
+			g_hash_table_remove(watch->leaving, &vm->addr);
+	}
+	update(watch);
+}
--- /dev/null
+++ b/daemon/src/zone_reporter.h
@@ -0,0 +1,19 @@
+#ifndef ZONE_REPORTER_H
+#define ZONE_REPORTER_H
+
+#include <platform/kv_client.h>
+
+/*
+ * Publishes what the nodes of one zone hold, under a key of the zone, so that
+ * status reads few keys and writes stay few however many nodes there are.
+ */
+struct zone_reporter;
+
+/* The client must outlive it; the key is copied. */
+struct zone_reporter *zone_reporter_new(struct kv_client *client,
+					const char *key);
+void zone_reporter_free(struct zone_reporter *reporter);
+void zone_reporter_set(struct zone_reporter *reporter, char *text);
+void zone_reporter_tick(struct zone_reporter *reporter, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/wire/include/wire/config_report_codec.h
@@ -0,0 +1,12 @@
+#ifndef WIRE_CONFIG_REPORT_CODEC_H
+#define WIRE_CONFIG_REPORT_CODEC_H
+
+#include <core/config_report.h>
+#include <glib.h>
+
+/* The reports of one zone's nodes as JSON, the value of one key. */
+char *config_report_encode(const GArray *reports);
+GArray *config_report_decode(const char *text, size_t length_bytes,
+			     GError **error);
+
+#endif
