--- /dev/null
+++ b/daemon/test/drain_test.c
@@ -0,0 +1,263 @@
+/* What a stop does to requests in progress and to connections. */
+#include "node_fixture.h"
+#include "raw_caller.h"
+
+#include <fakes/script_target.h>
+#include <fakes/test_main.h>
+#include <pthread.h>
+
+#define GET "GET /x HTTP/1.1\r\nHost: s\r\n\r\n"
+#define POST "POST /x HTTP/1.1\r\nHost: s\r\nContent-Length: 4\r\n\r\n"
+#define OK_HEAD "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+#define DOWNLOAD_HEAD "HTTP/1.1 200 OK\r\nContent-Length: 33554432\r\n\r\n"
+#define DOWNLOAD_BYTES 33554432
+#define WAIT_STEP_US 1000
+
+/*
+ * What is under way when the drain begins, what its caller gets, and whether
+ * the node reports that nothing was left.
+ */
+static const struct row {
+	const char *name;
+	const char *request;
+	struct script_step script[SCRIPT_STEP_COUNT_MAX];
+	const char *outcome;
+	bool is_answered_before;
+	bool is_drained;
+} rows[] = {
+	{"nothing-open", NULL, {{SCRIPT_HANG, NULL, 0}}, NULL, false, true},
+	{"before-headers",
+	 GET,
+	 {{SCRIPT_RUN, NULL, 0},
+	  {SCRIPT_WAIT, NULL, 300},
+	  {SCRIPT_SEND, OK_HEAD "hello", 0}},
+	 "whole",
+	 false,
+	 true},
+	{"in-body",
+	 GET,
+	 {{SCRIPT_RUN, NULL, 0},
+	  {SCRIPT_SEND, OK_HEAD "he", 0},
+	  {SCRIPT_WAIT, NULL, 300},
+	  {SCRIPT_SEND, "llo", 0}},
+	 "whole",
+	 false,
+	 true},
+	{"long-download",
+	 GET,
+	 {{SCRIPT_RUN, NULL, 0},
+	  {SCRIPT_SEND, DOWNLOAD_HEAD, 0},
+	  {SCRIPT_SEND_BYTES, NULL, DOWNLOAD_BYTES}},
+	 "whole",
+	 false,
+	 true},
+	{"kept-alive-idle",
+	 GET,
+	 {{SCRIPT_RUN, NULL, 0}, {SCRIPT_SEND, OK_HEAD "hello", 0}},
+	 "whole",
+	 true,
+	 true},
+	{"half-request",
+	 "GET /x HTTP/1.1\r\n",
+	 {{SCRIPT_HANG, NULL, 0}},
+	 "broken",
+	 false,
+	 true},
+	{"never-ends",
+	 GET,
+	 {{SCRIPT_RUN, NULL, 0},
+	  {SCRIPT_SEND, OK_HEAD "he", 0},
+	  {SCRIPT_HANG, NULL, 0}},
+	 "broken",
+	 false,
+	 false},
+};
+
+/* What the drain reports, from another thread. */
+struct report {
+	pthread_mutex_t lock;
+	pthread_cond_t cond;
+	bool is_done;
+	bool is_drained;
+};
+
+struct fixture {
+	struct script_target *target;
+	struct node_fixture node;
+	struct raw_caller caller;
+	struct report report;
+};
+
+static void on_done(void *context, bool is_drained)
+{
+	struct report *report = context;
+
+	pthread_mutex_lock(&report->lock);
+	report->is_done = true;
+	report->is_drained = is_drained;
+	pthread_cond_signal(&report->cond);
+	pthread_mutex_unlock(&report->lock);
+}
+
+static void wait_for_done(struct report *report)
+{
+	pthread_mutex_lock(&report->lock);
+	while (!report->is_done)
+		pthread_cond_wait(&report->cond, &report->lock);
+	pthread_mutex_unlock(&report->lock);
+}
+
+static void start_drain(struct fixture *fixture)
+{
+	struct shallotd_drain_options options = {
+		.context = &fixture->report,
+		.done = on_done,
+	};
+	GError *error = NULL;
+
+	pthread_mutex_init(&fixture->report.lock, NULL);
+	pthread_cond_init(&fixture->report.cond, NULL);
+	ck_assert(shallotd_drain(fixture->node.daemon, &options, &error));
+}
+
+static void setup(struct fixture *fixture, const struct row *row)
+{
+	struct script_target_options options = {
+		.scripts = &row->script,
+		.script_count = 1,
+	};
+	char text[ENDPOINT_TEXT_BYTES];
+	struct endpoint endpoint;
+	GError *error = NULL;
+	char *rules;
+
+	memset(fixture, 0, sizeof(*fixture));
+	fixture->target = script_target_new(&options, &error);
+	ck_assert_msg(!error, "%s", error ? error->message : "");
+	endpoint = script_target_endpoint(fixture->target);
+	rules = g_strdup_printf("s address=10.0.0.1:80 pool=%s protocol=http "
+				"# asked by Lin Yu-ting\n",
+				endpoint_format(&endpoint, text));
+	node_fixture_start(&fixture->node, rules,
+			   "log: {level: error}\n"
+			   "requests: {read_timeout_ms: 600}\n"
+			   "drain: {timeout_ms: 3000}\n");
+	g_free(rules);
+}
+
+static void teardown(struct fixture *fixture)
+{
+	node_fixture_stop(&fixture->node);
+	script_target_free(fixture->target);
+}
+
+/* Waits until the request has reached the target, if it ever does. */
+static void wait_for_target(struct fixture *fixture, const struct row *row)
+{
+	if (row->script[0].action == SCRIPT_HANG)
+		return;
+	while (script_target_run_count(fixture->target) == 0)
+		g_usleep(WAIT_STEP_US);
+}
+
+static void check_answer(struct fixture *fixture, const struct row *row)
+{
+	struct raw_answer answer;
+
+	raw_caller_read(&fixture->caller, true, &answer);
+	ck_assert_str_eq(raw_answer_outcome(&answer), row->outcome);
+	g_free(answer.head);
+}
+
+/* Waits until the address is closed. */
+static void wait_for_refusal(const struct endpoint *endpoint)
+{
+	struct sockaddr_storage storage;
+	socklen_t length = sock_addr_from_endpoint(&storage, endpoint);
+	bool is_refused = false;
+
+	while (!is_refused) {
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+		is_refused = connect(fd, (struct sockaddr *)&storage, length);
+		close(fd);
+		g_usleep(WAIT_STEP_US);
+	}
+}
+
+START_TEST(test_drain)
+{
+	const struct row *row = &rows[_i];
+	struct fixture fixture;
+
+	test_row("drain", row->name);
+	setup(&fixture, row);
+	if (row->request) {
+		raw_caller_open(&fixture.caller,
+				&fixture.node.settings->listen_requests);
+		raw_caller_send(&fixture.caller, row->request,
+				strlen(row->request));
+		wait_for_target(&fixture, row);
+		if (row->is_answered_before)
+			check_answer(&fixture, row);
+	}
+	start_drain(&fixture);
+	if (row->request && row->is_drained && !row->is_answered_before)
+		check_answer(&fixture, row);
+	wait_for_done(&fixture.report);
+	ck_assert(fixture.report.is_drained == row->is_drained);
+	wait_for_refusal(&fixture.node.settings->listen_requests);
+	if (row->request) {
+		ck_assert(row->is_drained ? !raw_caller_fill(&fixture.caller)
+					  : true);
+		raw_caller_close(&fixture.caller);
+	}
+	teardown(&fixture);
+}
+END_TEST
+
+/* A request that comes on a kept connection in the drain gets an answer. */
+START_TEST(test_request_in_drain)
+{
+	const struct row *row = &rows[1];
+	struct raw_caller late;
+	struct raw_answer answer;
+	struct fixture fixture;
+
+	test_row("drain", "request-on-kept-connection");
+	setup(&fixture, row);
+	raw_caller_open(&fixture.caller,
+			&fixture.node.settings->listen_requests);
+	raw_caller_open(&late, &fixture.node.settings->listen_requests);
+	raw_caller_send(&late, POST, strlen(POST));
+	raw_caller_send(&fixture.caller, GET, strlen(GET));
+	wait_for_target(&fixture, row);
+	start_drain(&fixture);
+	wait_for_refusal(&fixture.node.settings->listen_requests);
+	raw_caller_send(&late, "body", strlen("body"));
+	raw_caller_read(&late, true, &answer);
+	ck_assert_str_eq(raw_answer_outcome(&answer), "not-run");
+	ck_assert_ptr_nonnull(strstr(answer.head, "\r\nConnection: close"));
+	g_free(answer.head);
+	check_answer(&fixture, row);
+	wait_for_done(&fixture.report);
+	ck_assert(fixture.report.is_drained);
+	ck_assert_uint_eq(script_target_run_count(fixture.target), 1);
+	raw_caller_close(&late);
+	raw_caller_close(&fixture.caller);
+	teardown(&fixture);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("drain");
+	TCase *tcase = tcase_create("drain");
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(tcase, test_drain, 0,
+			    sizeof(rows) / sizeof(rows[0]));
+	tcase_add_test(tcase, test_request_in_drain);
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
--- a/daemon/test/raw_caller.h
+++ b/daemon/test/raw_caller.h
@@ -158,8 +158,10 @@
 	gssize end = raw_caller_find(caller, "\r\n\r\n");
 
 	memset(answer, 0, sizeof(*answer));
-	if (end < 0)
+	if (end < 0) {
+		answer->head = g_strdup("");
 		return;
+	}
 	answer->head = g_strndup(caller->input->str, (gsize)end + 4);
 	g_string_erase(caller->input, 0, end + 4);
 	ck_assert_msg(g_str_has_prefix(answer->head, "HTTP/1."), "%s",
--- /dev/null
+++ b/daemon/test/settings_test.c
@@ -0,0 +1,191 @@
+/* Settings files that are wrong, and what the operator is told. */
+#include <daemon/daemon_error.h>
+#include <daemon/settings.h>
+#include <fakes/test_main.h>
+#include <glib/gstdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define NODE "node: {name: n, zone: z, region: r}\n"
+#define LISTEN                                                                 \
+	"listen:\n"                                                            \
+	"  packets: 127.0.0.1:1\n"                                             \
+	"  control: 127.0.0.1:2\n"                                             \
+	"  requests: 127.0.0.1:3\n"                                            \
+	"  admin: 127.0.0.1:4\n"
+#define GOOD NODE LISTEN
+
+/* A file, and the message behind its path; NULL where it is accepted. */
+static const struct {
+	const char *name;
+	const char *text;
+	const char *message;
+} rows[] = {
+	{"good", GOOD, NULL},
+	{"service-listen", GOOD "services: {s: '127.0.0.1:5'}\n", NULL},
+	{"unknown-key", GOOD "log: {colour: red}\n",
+	 ":7: log.colour: expected a known key"},
+	{"unknown-section", GOOD "colours: {red: 1}\n",
+	 ":7: colours: expected a known section"},
+	{"wrong-type", GOOD "log: {rate_per_s: [1, 2]}\n",
+	 ":7: log.rate_per_s: expected a number from 1 to 1000000"},
+	{"not-a-number", GOOD "log: {rate_per_s: many}\n",
+	 ":7: log.rate_per_s: expected a number from 1 to 1000000"},
+	{"below-range", GOOD "log: {rate_per_s: 0}\n",
+	 ":7: log.rate_per_s: expected a number from 1 to 1000000"},
+	{"above-range", GOOD "flows: {capacity: 4000001}\n",
+	 ":7: flows.capacity: expected a number from 1024 to 4000000"},
+	{"bad-level", GOOD "log: {level: loud}\n",
+	 ":7: log.level: expected error, warning, notice, info or debug"},
+	{"bad-endpoint", NODE "listen: {packets: here}\n",
+	 ":2: listen.packets: expected address:port"},
+	{"duplicate-key", GOOD "log:\n  rate_per_s: 1\n  rate_per_s: 2\n",
+	 ":9: log.rate_per_s: expected the key only once"},
+	{"duplicate-section-key",
+	 GOOD "log: {level: info}\nlog: {level: info}\n",
+	 ":8: log.level: expected the key only once"},
+	{"duplicate-service",
+	 GOOD "services:\n  s: 127.0.0.1:5\n  s: 127.0.0.1:6\n",
+	 ":9: services.s: expected a service name once, and its address:port"},
+	{"bad-service-endpoint", GOOD "services: {s: nowhere}\n",
+	 ":7: services.s: expected a service name once, and its address:port"},
+	{"missing-key", LISTEN "node: {name: n, zone: z}\n",
+	 ": node.region: expected, but missing"},
+	{"missing-section", NODE, ": listen.packets: expected, but missing"},
+	{"section-is-no-map", GOOD "log: 1\n",
+	 ":7: log: expected a section of keys"},
+	{"no-map", "- a\n- b\n", ":1: expected sections of keys"},
+	{"empty", "", ":1: expected sections of keys"},
+	{"not-yaml", NODE "listen: {packets: [}\n", ":2: not YAML: "},
+	{"tab", NODE "\tlisten: 1\n", ":2: not YAML: "},
+};
+
+static char *write_temporary(const char *text, gssize length)
+{
+	char *path = NULL;
+	int fd = g_file_open_tmp("settings_XXXXXX", &path, NULL);
+
+	ck_assert_int_ge(fd, 0);
+	close(fd);
+	ck_assert(g_file_set_contents(path, text, length, NULL));
+	return path;
+}
+
+START_TEST(test_file)
+{
+	char *path = write_temporary(rows[_i].text, -1);
+	GError *error = NULL;
+	struct settings *settings = settings_read(path, &error);
+
+	test_row("settings", rows[_i].name);
+	if (rows[_i].message) {
+		ck_assert_ptr_null(settings);
+		ck_assert(g_error_matches(error, DAEMON_ERROR,
+					  DAEMON_ERROR_SETTINGS));
+		ck_assert(g_str_has_prefix(error->message, path));
+		ck_assert_msg(g_str_has_prefix(error->message + strlen(path),
+					       rows[_i].message),
+			      "%s", error->message);
+		g_error_free(error);
+	} else {
+		ck_assert_msg(settings, "%s", error ? error->message : "");
+	}
+	settings_free(settings);
+	g_unlink(path);
+	g_free(path);
+}
+END_TEST
+
+/* Two files, and the section that only a restart can change. */
+static const struct {
+	const char *name;
+	const char *running;
+	const char *read;
+	const char *section;
+} restart_rows[] = {
+	{"same", GOOD, GOOD, NULL},
+	{"log-only", GOOD, GOOD "log: {level: debug, rate_per_s: 9}\n", NULL},
+	{"text", GOOD, LISTEN "node: {name: m, zone: z, region: r}\n", "node"},
+	{"number", GOOD, GOOD "drain: {timeout_ms: 5}\n", "drain"},
+	{"rules", GOOD, GOOD "rules: {file: x}\n", "rules"},
+	{"service", GOOD, GOOD "services: {s: '127.0.0.1:5'}\n", "services"},
+};
+
+static struct settings *read_text(const char *text)
+{
+	char *path = write_temporary(text, -1);
+	struct settings *settings = settings_read(path, NULL);
+
+	ck_assert_ptr_nonnull(settings);
+	g_unlink(path);
+	g_free(path);
+	return settings;
+}
+
+START_TEST(test_restart_reason)
+{
+	struct settings *running = read_text(restart_rows[_i].running);
+	struct settings *read = read_text(restart_rows[_i].read);
+	const char *section = settings_restart_reason(running, read);
+
+	if (restart_rows[_i].section)
+		ck_assert_str_eq(section, restart_rows[_i].section);
+	else
+		ck_assert_ptr_null(section);
+	settings_free(running);
+	settings_free(read);
+}
+END_TEST
+
+#define MUTATION_SEED 20261204
+#define MUTATION_COUNT 2000
+#define CHANGES_MAX 5
+
+static const char mutated_text[] =
+	GOOD "log: {level: info, rate_per_s: 100}\nservices: {s: 127.0.0.1:5}\n"
+	     "drain: {timeout_ms: 500}\n";
+
+/* Each file is read or refused with a message that names it. */
+START_TEST(test_mutations)
+{
+	GRand *rand = g_rand_new_with_seed(MUTATION_SEED);
+
+	test_row("settings", "mutations");
+	for (int i = 0; i < MUTATION_COUNT; i++) {
+		char text[sizeof(mutated_text)];
+		int change_count = g_rand_int_range(rand, 1, CHANGES_MAX);
+		struct settings *settings;
+		GError *error = NULL;
+		char *path;
+
+		memcpy(text, mutated_text, sizeof(text));
+		for (int j = 0; j < change_count; j++)
+			text[g_rand_int_range(rand, 0, sizeof(text) - 1)] =
+				(char)g_rand_int_range(rand, 0, 256);
+		path = write_temporary(text, sizeof(text) - 1);
+		settings = settings_read(path, &error);
+		ck_assert((settings != NULL) == (error == NULL));
+		if (error)
+			ck_assert(g_str_has_prefix(error->message, path));
+		g_clear_error(&error);
+		settings_free(settings);
+		g_unlink(path);
+		g_free(path);
+	}
+	g_rand_free(rand);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("settings");
+	TCase *tcase = tcase_create("settings");
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(tcase, test_file, 0, G_N_ELEMENTS(rows));
+	tcase_add_loop_test(tcase, test_restart_reason, 0,
+			    G_N_ELEMENTS(restart_rows));
+	tcase_add_test(tcase, test_mutations);
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
--- a/fakes/src/script_target.c
+++ b/fakes/src/script_target.c
@@ -27,6 +27,7 @@
 	atomic_uint_fast64_t request_count;
 	atomic_uint_fast64_t run_count;
 	atomic_uint_fast64_t sent_bytes;
+	atomic_uint_fast64_t open_count;
 	pthread_mutex_t lock;
 	char *last_head;
 };
@@ -61,6 +62,7 @@
 
 	if (!g_hash_table_remove(target->connections, connection))
 		return;
+	atomic_fetch_sub(&target->open_count, 1);
 	g_queue_push_tail(&target->closed, connection);
 	event_active(target->sweep, EV_TIMEOUT, 0);
 }
@@ -88,6 +90,7 @@
 		.closed = on_closed,
 	};
 
+	atomic_fetch_add(&target->open_count, 1);
 	g_hash_table_add(target->connections, script_connection_new(&options));
 }
 
@@ -197,6 +200,12 @@
 	return atomic_load(&((struct script_target *)target)->request_count);
 }
 
+/* Returns how many connections to it are open. */
+uint64_t script_target_open_count(const struct script_target *target)
+{
+	return atomic_load(&((struct script_target *)target)->open_count);
+}
+
 /* Returns how many bytes of answers it handed on. */
 uint64_t script_target_sent_bytes(const struct script_target *target)
 {
