Add shallotctl load and the path bench

Nobody could load a node with real HTTP or say what a node costs a request.

shallotctl load is an open loop with Poisson arrivals from a seed, a class mix, outcomes, percentiles and a text plot; loopback is the only default. bench path runs a node and stand-in targets as tasks of one process and takes turns between direct and through, after a download of 1 GiB, which is measured first so that the peak of memory is its own. ctl links the daemon package for it.

--- a/ctl/include/ctl/command.h
+++ b/ctl/include/ctl/command.h
@@ -20,5 +20,6 @@
 extern const struct command bench_command;
 extern const struct command check_command;
 extern const struct command demo_command;
+extern const struct command load_command;
 
 #endif
--- a/ctl/include/ctl/load_task.h
+++ b/ctl/include/ctl/load_task.h
@@ -7,9 +7,10 @@
 #include <task/task.h>
 
 /*
- * An open loop of HTTP requests: arrivals are a Poisson process drawn from the
- * seed and do not wait for answers. It ends by itself after duration_ms and
- * the answers still out.
+ * HTTP requests in an open loop: arrivals are a Poisson process drawn from the
+ * seed and do not wait for answers. With closed_count set, that many callers
+ * send their next request when the answer to the last has come instead. It
+ * ends by itself after duration_ms and the answers still out.
  */
 struct load_task;
 
@@ -19,6 +20,7 @@
 	const struct load_class *classes;
 	uint32_t class_count;
 	uint32_t rate_per_s;
+	uint32_t closed_count;
 	uint32_t duration_ms;
 	uint32_t timeout_ms;
 	uint32_t open_limit;
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -8,6 +8,7 @@
 	&bench_command,
 	&check_command,
 	&demo_command,
+	&load_command,
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
--- a/ctl/src/demo_run.c
+++ b/ctl/src/demo_run.c
@@ -3,7 +3,7 @@
 #include "demo_targets.h"
 
 #include <ctl/command.h>
-#include <ctl/load_task.h>
+#include <ctl/load_report.h>
 #include <fakes/fake_fabric.h>
 #include <glib.h>
 #include <inttypes.h>
@@ -33,6 +33,7 @@
 	struct demo_targets *targets;
 	struct fake_fabric *fabric;
 	struct load_task *load;
+	struct load_options load_options;
 };
 
 /* What goes wrong in a run, by kind. */
@@ -64,7 +65,7 @@
 
 static bool start_load(struct demo *demo, GError **error)
 {
-	struct load_options options = {
+	demo->load_options = (struct load_options){
 		.nodes = demo->options->requests,
 		.node_count = demo->options->node_count,
 		.classes = classes,
@@ -77,7 +78,7 @@
 		.is_echo_checked = true,
 	};
 
-	demo->load = load_task_new(&options, error);
+	demo->load = load_task_new(&demo->load_options, error);
 	return demo->load != NULL;
 }
 
@@ -111,21 +112,10 @@
 static void collect(const struct demo *demo, struct demo_verdict *verdict)
 {
 	fake_fabric_finish(demo->fabric, GRACE_MS, &verdict->flows);
-	for (uint32_t i = 0; i < G_N_ELEMENTS(classes); i++) {
-		const struct load_result *result =
-			load_task_result(demo->load, i);
-
-		for (int j = 0; j < LOAD_OUTCOME_COUNT; j++)
-			verdict->outcome_counts[j] += result->outcome_counts[j];
-		printf("%-14s%6" PRIu64 " requests, p50 %.2f ms, p99 %.2f ms\n",
-		       classes[i].name, result->sent_count,
-		       (double)latency_histogram_percentile_us(
-			       result->latencies, 50) /
-			       MS_PER_S,
-		       (double)latency_histogram_percentile_us(
-			       result->latencies, 99) /
-			       MS_PER_S);
-	}
+	for (int i = 0; i < LOAD_OUTCOME_COUNT; i++)
+		verdict->outcome_counts[i] = load_report_outcome_count(
+			demo->load, &demo->load_options, (enum load_outcome)i);
+	load_report_print(demo->load, &demo->load_options, stdout);
 }
 
 static int report(const struct demo *demo, const struct demo_verdict *verdict)
--- /dev/null
+++ b/ctl/src/load_arguments.h
@@ -0,0 +1,30 @@
+#ifndef LOAD_ARGUMENTS_H
+#define LOAD_ARGUMENTS_H
+
+#include <ctl/load_task.h>
+
+#define LOAD_CLASS_COUNT_MAX 16
+
+/* What the command line asks of a load; it owns the strings. */
+struct load_arguments {
+	struct load_options options;
+	struct endpoint node;
+	struct load_class classes[LOAD_CLASS_COUNT_MAX];
+	char *host;
+	char *path;
+	char *class_names[LOAD_CLASS_COUNT_MAX];
+	bool is_any_address;
+};
+
+enum load_arguments_result {
+	LOAD_ARGUMENTS_GOOD,
+	LOAD_ARGUMENTS_BAD,
+	LOAD_ARGUMENTS_HELP,
+};
+
+struct load_arguments *load_arguments_new(void);
+void load_arguments_free(struct load_arguments *arguments);
+enum load_arguments_result load_arguments_read(struct load_arguments *arguments,
+					       int argc, char **argv);
+
+#endif
--- a/ctl/src/load_task.c
+++ b/ctl/src/load_task.c
@@ -58,9 +58,21 @@
 	pthread_mutex_unlock(&load->lock);
 }
 
+static double elapsed_us(const struct load_task *load)
+{
+	return (double)(g_get_monotonic_time() - load->start_us);
+}
+
+static bool is_closed_loop(const struct load_task *load)
+{
+	return load->options.closed_count > 0;
+}
+
 static bool is_over(const struct load_task *load)
 {
-	return load->next_us > (double)load->options.duration_ms * US_PER_MS;
+	double at_us = is_closed_loop(load) ? elapsed_us(load) : load->next_us;
+
+	return at_us > (double)load->options.duration_ms * US_PER_MS;
 }
 
 static void count(struct load_task *load, uint32_t class_index,
@@ -73,6 +85,8 @@
 	atomic_fetch_add(&load->done_count, 1);
 }
 
+static void arrive(struct load_task *load);
+
 static void on_ended(void *context, struct load_call *call,
 		     enum load_outcome outcome, uint64_t latency_us)
 {
@@ -85,6 +99,8 @@
 	count(load, class_index, outcome, latency_us);
 	load->open_count--;
 	g_ptr_array_add(load->idle[node], call);
+	if (is_closed_loop(load) && !is_over(load))
+		arrive(load);
 	if (is_over(load) && load->open_count == 0)
 		announce_end(load);
 }
@@ -132,6 +148,8 @@
 {
 	double uniform = 1.0 - g_rand_double(load->rand);
 
+	if (is_closed_loop(load))
+		return;
 	load->next_us -= log(uniform) * US_PER_S / load->options.rate_per_s;
 }
 
@@ -139,7 +157,7 @@
 static void on_timer(void *context)
 {
 	struct load_task *load = context;
-	double now_us = (double)(g_get_monotonic_time() - load->start_us);
+	double now_us = elapsed_us(load);
 	double wait_us;
 
 	while (load->next_us <= now_us && !is_over(load)) {
@@ -155,6 +173,12 @@
 	timer_once(load->timer, (uint32_t)(wait_us / US_PER_MS) + 1);
 }
 
+static void start_closed_loop(struct load_task *load)
+{
+	for (uint32_t i = 0; i < load->options.closed_count; i++)
+		arrive(load);
+}
+
 static bool start(void *context, struct task *task, GError **error)
 {
 	struct load_task *load = context;
@@ -162,7 +186,10 @@
 	load->task = task;
 	load->timer = timer_new(task, load, on_timer);
 	load->start_us = g_get_monotonic_time();
-	timer_once(load->timer, 0);
+	if (is_closed_loop(load))
+		start_closed_loop(load);
+	else
+		timer_once(load->timer, 0);
 	return true;
 }
 
--- /dev/null
+++ b/ctl/src/path_bed.c
@@ -0,0 +1,221 @@
+#include "path_bed.h"
+
+#include <daemon/settings.h>
+#include <daemon/shallotd.h>
+#include <fakes/fake_target.h>
+#include <fakes/loopback.h>
+#include <fakes/script_target.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <wire/sock_addr.h>
+
+#define DOWNLOAD_SERVICE "catalogue"
+#define SLOT_COUNT 1000
+#define BLOCK_BYTES 65536
+#define BYTES_PER_KIB 1024
+
+struct path_bed {
+	struct fake_target *echo;
+	struct script_target *large;
+	struct settings *settings;
+	struct shallotd *node;
+	char *directory;
+};
+
+static const struct script_step large_script[][SCRIPT_STEP_COUNT_MAX] = {
+	{{SCRIPT_RUN, NULL, 0},
+	 {SCRIPT_SEND,
+	  "HTTP/1.1 200 OK\r\nContent-Length: " G_STRINGIFY(
+		  PATH_BED_DOWNLOAD_BYTES) "\r\n\r\n",
+	  0},
+	 {SCRIPT_SEND_BYTES, NULL, PATH_BED_DOWNLOAD_BYTES}},
+};
+
+static const char *const listen_keys[] = {"packets", "control", "requests",
+					  "admin"};
+
+static char *path_in(const struct path_bed *bed, const char *name)
+{
+	return g_build_filename(bed->directory, name, NULL);
+}
+
+static void write_file(const struct path_bed *bed, const char *name,
+		       const char *text)
+{
+	char *path = path_in(bed, name);
+	GError *error = NULL;
+
+	if (!g_file_set_contents(path, text, -1, &error))
+		g_error("%s", error->message);
+	g_free(path);
+}
+
+static void write_rules(const struct path_bed *bed)
+{
+	char echo_text[ENDPOINT_TEXT_BYTES];
+	char large_text[ENDPOINT_TEXT_BYTES];
+	struct endpoint echo = fake_target_endpoint(bed->echo);
+	struct endpoint large = script_target_endpoint(bed->large);
+	char *text = g_strdup_printf(
+		PATH_BED_SERVICE " address=10.0.0.1:80 pool=%s*%u "
+				 "protocol=http # bench\n" DOWNLOAD_SERVICE
+				 " address=10.0.0.2:80 pool=%s*%u "
+				 "protocol=http # bench\n",
+		endpoint_format(&echo, echo_text), SLOT_COUNT,
+		endpoint_format(&large, large_text), SLOT_COUNT);
+
+	write_file(bed, "rules", text);
+	g_free(text);
+}
+
+static void write_settings(const struct path_bed *bed)
+{
+	GString *text = g_string_new("node: {name: bench, zone: z, region: r}\n"
+				     "log: {level: error}\nlisten:\n");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(listen_keys); i++) {
+		struct endpoint endpoint = loopback_free_endpoint();
+		char address[ENDPOINT_TEXT_BYTES];
+
+		g_string_append_printf(text, "  %s: %s\n", listen_keys[i],
+				       endpoint_format(&endpoint, address));
+	}
+	g_string_append_printf(text, "rules: {file: %s/rules}\n",
+			       bed->directory);
+	write_file(bed, "settings", text->str);
+	g_string_free(text, TRUE);
+}
+
+static void start_node(struct path_bed *bed)
+{
+	GError *error = NULL;
+	char *path = path_in(bed, "settings");
+
+	write_rules(bed);
+	write_settings(bed);
+	bed->settings = settings_read(path, &error);
+	if (bed->settings)
+		bed->node = shallotd_new(bed->settings, &error);
+	if (!bed->node)
+		g_error("%s", error->message);
+	g_free(path);
+}
+
+static void start_targets(struct path_bed *bed)
+{
+	struct fake_target_options echo_options = {.name = "echo"};
+	struct script_target_options large_options = {
+		.scripts = large_script,
+		.script_count = 1,
+	};
+	GError *error = NULL;
+
+	bed->echo = fake_target_new(&echo_options, &error);
+	if (bed->echo)
+		bed->large = script_target_new(&large_options, &error);
+	if (!bed->large)
+		g_error("%s", error->message);
+}
+
+/* Starts node and targets; ends the process when a port cannot be had. */
+struct path_bed *path_bed_new(void)
+{
+	struct path_bed *bed = g_new0(struct path_bed, 1);
+
+	signal(SIGPIPE, SIG_IGN);
+	bed->directory = g_dir_make_tmp("bench_path_XXXXXX", NULL);
+	start_targets(bed);
+	start_node(bed);
+	return bed;
+}
+
+static void remove_file(const struct path_bed *bed, const char *name)
+{
+	char *path = path_in(bed, name);
+
+	g_unlink(path);
+	g_free(path);
+}
+
+/* Stops everything and removes the files. */
+void path_bed_free(struct path_bed *bed)
+{
+	shallotd_free(bed->node);
+	settings_free(bed->settings);
+	fake_target_free(bed->echo);
+	script_target_free(bed->large);
+	remove_file(bed, "rules");
+	remove_file(bed, "settings");
+	g_rmdir(bed->directory);
+	g_free(bed->directory);
+	g_free(bed);
+}
+
+/* Returns the echo target's own address. */
+struct endpoint path_bed_target(const struct path_bed *bed)
+{
+	return fake_target_endpoint(bed->echo);
+}
+
+/* Returns the address on which the node takes requests. */
+struct endpoint path_bed_node(const struct path_bed *bed)
+{
+	return bed->settings->listen_requests;
+}
+
+static int connect_to_node(const struct path_bed *bed)
+{
+	struct sockaddr_storage storage;
+	socklen_t length = sock_addr_from_endpoint(
+		&storage, &bed->settings->listen_requests);
+	int fd = socket(storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	if (connect(fd, (struct sockaddr *)&storage, length) < 0)
+		g_error("cannot connect to the node");
+	return fd;
+}
+
+/*
+ * Downloads a large answer through the node and drops it. Returns how many
+ * bytes of head and body came.
+ */
+uint64_t path_bed_download(const struct path_bed *bed)
+{
+	static const char request[] =
+		"GET /proof HTTP/1.1\r\nHost: " DOWNLOAD_SERVICE
+		"\r\nConnection: close\r\n\r\n";
+	int fd = connect_to_node(bed);
+	uint64_t received_bytes = 0;
+	char *block = g_malloc(BLOCK_BYTES);
+	ssize_t part;
+
+	part = send(fd, request, strlen(request), 0);
+	while (part > 0) {
+		part = recv(fd, block, BLOCK_BYTES, 0);
+		if (part > 0)
+			received_bytes += (uint64_t)part;
+	}
+	g_free(block);
+	close(fd);
+	return received_bytes;
+}
+
+/* Returns the most memory that this process has held so far. */
+uint64_t path_bed_peak_bytes(void)
+{
+	char *text = NULL;
+	const char *line;
+	uint64_t peak_kib = 0;
+
+	if (!g_file_get_contents("/proc/self/status", &text, NULL, NULL))
+		return 0;
+	line = strstr(text, "VmHWM:");
+	if (line)
+		peak_kib = g_ascii_strtoull(line + strlen("VmHWM:"), NULL, 10);
+	g_free(text);
+	return peak_kib * BYTES_PER_KIB;
+}
--- a/daemon/src/outcome_reply.c
+++ b/daemon/src/outcome_reply.c
@@ -1,5 +1,7 @@
 #include "outcome_reply.h"
 
+#include "request_reader.h"
+
 #include <event2/buffer.h>
 
 #define STATUS_UNAVAILABLE 503
@@ -51,10 +53,16 @@
 			      replies[refusal->kind].reason);
 }
 
+static const char *status_reason(int status)
+{
+	return status == STATUS_MISDIRECTED ? "Misdirected Request"
+					    : "Bad Request";
+}
+
 /* Rejects a request that was never tried and must not be sent again as it is.
  */
 void outcome_reply_status(struct caller_exchange *exchange, int status)
 {
 	evhttp_add_header(headers_of(exchange), "Shallot-Outcome", "not-run");
-	caller_exchange_reply(exchange, status, NULL);
+	caller_exchange_reply(exchange, status, status_reason(status));
 }
