--- a/ctl/include/ctl/bench.h
+++ b/ctl/include/ctl/bench.h
@@ -12,5 +12,6 @@
 
 extern const struct bench bench_config;
 extern const struct bench bench_decide;
+extern const struct bench bench_path;
 
 #endif
