--- a/core/include/core/rules_outcome.h
+++ b/core/include/core/rules_outcome.h
@@ -25,6 +25,7 @@
 	uint32_t number;
 	uint32_t column;
 	enum rules_verdict verdict;
+	uint32_t form;
 	uint64_t generation;
 	char reason[RULES_REASON_BYTES];
 };
--- a/core/src/rules_merge.c
+++ b/core/src/rules_merge.c
@@ -23,7 +23,14 @@
 					 const char *name, uint32_t number,
 					 enum rules_verdict verdict)
 {
-	struct rules_outcome outcome = {.number = number, .verdict = verdict};
+	const struct rules_text_line *line =
+		rules_text_find(merge->options.text, name);
+	struct rules_outcome outcome = {
+		.number = number, .verdict = verdict, .form = RULE_FORM_FIRST};
+
+	outcome.column = number > 0 ? 1 : 0;
+	if (line && line->rule)
+		outcome.form = line->rule->form;
 
 	g_strlcpy(outcome.name, name, SERVICE_NAME_BYTES);
 	g_array_append_val(merge->outcomes, outcome);
@@ -64,7 +71,6 @@
 	struct rules_outcome *outcome =
 		add_outcome(merge, line->name, line->number, verdict);
 
-	outcome->column = 1;
 	outcome->generation = stored->generation;
 	snprintf(outcome->reason, RULES_REASON_BYTES,
 		 "revision %" PRIu64 " %s; %s", stored->generation,
@@ -248,7 +254,6 @@
 		merge, candidate->name,
 		candidate->line ? candidate->line->number : 0, RULES_HELD);
 
-	outcome->column = 1;
 	g_strlcpy(outcome->reason, candidate->refusal, RULES_REASON_BYTES);
 }
 
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -5,10 +5,8 @@
 #include <string.h>
 
 static const struct command *const commands[] = {
-	&bench_command,
-	&check_command,
-	&demo_command,
-	&load_command,
+	&bench_command, &check_command,	 &demo_command,
+	&load_command,	&status_command, &sync_command,
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
--- /dev/null
+++ b/ctl/src/sync_printer.c
@@ -0,0 +1,175 @@
+#include "sync_printer.h"
+
+#include <core/rule.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+/* A line as last printed; in_force is the count last printed for it. */
+struct printed_line {
+	struct rules_outcome outcome;
+	uint32_t in_force;
+	bool is_waiting;
+};
+
+struct sync_printer {
+	const char *path;
+	bool is_json;
+	GHashTable *lines;
+};
+
+/* Makes a printer that has printed nothing; the path must outlive it. */
+struct sync_printer *sync_printer_new(const char *path, bool is_json)
+{
+	struct sync_printer *printer = g_new0(struct sync_printer, 1);
+
+	printer->path = path;
+	printer->is_json = is_json;
+	printer->lines =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return printer;
+}
+
+/* Frees the printer; NULL is allowed. */
+void sync_printer_free(struct sync_printer *printer)
+{
+	if (!printer)
+		return;
+	g_hash_table_destroy(printer->lines);
+	g_free(printer);
+}
+
+static void print_json(const struct sync_printer *printer, json_t *object)
+{
+	char *text = json_dumps(object, JSON_COMPACT);
+
+	puts(text);
+	free(text);
+	json_decref(object);
+}
+
+static void print_outcome(const struct sync_printer *printer,
+			  const struct rules_outcome *outcome)
+{
+	const char *verdict = rules_verdict_name(outcome->verdict);
+
+	if (printer->is_json)
+		print_json(
+			printer,
+			json_pack("{s:s, s:i, s:i, s:s, s:s, s:I, s:s}", "file",
+				  printer->path, "line", (int)outcome->number,
+				  "column", (int)outcome->column, "service",
+				  outcome->name, "verdict", verdict, "revision",
+				  (json_int_t)outcome->generation, "reason",
+				  outcome->reason));
+	else
+		printf("%s:%u:%u: %s %s%s%s\n", printer->path, outcome->number,
+		       outcome->column, outcome->name[0] ? outcome->name : "?",
+		       verdict, outcome->reason[0] ? ": " : "",
+		       outcome->reason);
+	fflush(stdout);
+}
+
+static bool is_printed(const struct printed_line *printed,
+		       const struct rules_outcome *outcome)
+{
+	return printed &&
+	       strcmp(rules_verdict_name(printed->outcome.verdict),
+		      rules_verdict_name(outcome->verdict)) == 0 &&
+	       printed->outcome.generation == outcome->generation &&
+	       strcmp(printed->outcome.reason, outcome->reason) == 0;
+}
+
+static bool is_in_store(const struct rules_outcome *outcome)
+{
+	return outcome->verdict == RULES_ACCEPTED ||
+	       outcome->verdict == RULES_IN_STORE ||
+	       outcome->verdict == RULES_DELETED;
+}
+
+/* A line whose name could not be read is known by its number. */
+static char *key_of(const struct rules_outcome *outcome)
+{
+	return outcome->name[0] ? g_strdup(outcome->name)
+				: g_strdup_printf("%u", outcome->number);
+}
+
+/* Prints the verdicts that differ from those printed before. */
+void sync_printer_outcomes(struct sync_printer *printer,
+			   const struct rules_merge *merge)
+{
+	for (uint32_t i = 0; i < rules_merge_count(merge); i++) {
+		const struct rules_outcome *outcome = rules_merge_at(merge, i);
+		char *key = key_of(outcome);
+		struct printed_line *line =
+			g_hash_table_lookup(printer->lines, key);
+
+		if (is_printed(line, outcome)) {
+			g_free(key);
+			continue;
+		}
+		line = g_new0(struct printed_line, 1);
+		line->outcome = *outcome;
+		line->is_waiting = is_in_store(outcome);
+		g_hash_table_insert(printer->lines, key, line);
+		print_outcome(printer, outcome);
+	}
+}
+
+static void print_in_force(const struct sync_printer *printer,
+			   const struct printed_line *line, uint32_t node_count)
+{
+	const struct rules_outcome *outcome = &line->outcome;
+
+	if (printer->is_json)
+		print_json(printer, json_pack("{s:s, s:s, s:I, s:i, s:i}",
+					      "file", printer->path, "service",
+					      outcome->name, "revision",
+					      (json_int_t)outcome->generation,
+					      "in_force", (int)line->in_force,
+					      "nodes", (int)node_count));
+	else
+		printf("%s:%u:%u: %s in force on %u of %u nodes\n",
+		       printer->path, outcome->number, outcome->column,
+		       outcome->name, line->in_force, node_count);
+	fflush(stdout);
+}
+
+/* Prints how far lines have come; true when all are in force everywhere. */
+bool sync_printer_status(struct sync_printer *printer,
+			 const struct fleet_status *status)
+{
+	uint32_t node_count = fleet_status_count(status);
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, printer->lines);
+	while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+		struct printed_line *line = value;
+		uint32_t in_force = fleet_status_in_force(
+			status, line->outcome.generation, line->outcome.form);
+
+		if (!line->is_waiting)
+			continue;
+		line->is_waiting = node_count == 0 || in_force < node_count;
+		if (in_force == line->in_force && line->is_waiting)
+			continue;
+		line->in_force = in_force;
+		print_in_force(printer, line, node_count);
+	}
+	return sync_printer_waiting_count(printer) == 0;
+}
+
+/* Returns how many accepted lines are not known to be in force everywhere. */
+uint32_t sync_printer_waiting_count(const struct sync_printer *printer)
+{
+	uint32_t count = 0;
+	GHashTableIter iterator;
+	gpointer value;
+
+	g_hash_table_iter_init(&iterator, printer->lines);
+	while (g_hash_table_iter_next(&iterator, NULL, &value))
+		count += ((struct printed_line *)value)->is_waiting ? 1 : 0;
+	return count;
+}
--- a/daemon/src/shallotd.c
+++ b/daemon/src/shallotd.c
@@ -1,6 +1,8 @@
 #include <daemon/shallotd.h>
 
+#include <core/node.h>
 #include <daemon/admin_task.h>
+#include <daemon/config_task.h>
 #include <daemon/drain_task.h>
 #include <daemon/log_settings_message.h>
 #include <daemon/packet_task.h>
@@ -11,22 +13,67 @@
 
 #define WORK_TASK_COUNT 2
 
+/* The work tasks, and the configuration task where there is a store. */
+#define SOURCE_COUNT_MAX (WORK_TASK_COUNT + 1)
+
 struct shallotd {
 	const struct settings *settings;
 	struct packet_task *packets;
 	struct request_task *requests;
 	struct admin_task *admin;
 	struct drain_task *drain;
+	struct config_task *config;
 	struct task *work_tasks[WORK_TASK_COUNT];
+	struct task *sources[SOURCE_COUNT_MAX];
 };
 
-static bool make_tasks(struct shallotd *daemon, GError **error)
+/* A node without a store takes its rules from a file. */
+static bool has_store(const struct shallotd *daemon)
 {
-	struct admin_options admin_options = {
+	return daemon->settings->platform.store.port != 0;
+}
+
+static bool make_admin(struct shallotd *daemon, GError **error)
+{
+	struct admin_options options = {
 		.settings = daemon->settings,
-		.sources = daemon->work_tasks,
-		.source_count = WORK_TASK_COUNT,
+		.sources = daemon->sources,
+		.source_count = WORK_TASK_COUNT + (has_store(daemon) ? 1 : 0),
 	};
+
+	daemon->admin = admin_task_new(&options, error);
+	return daemon->admin != NULL;
+}
+
+/* The id is drawn at start, so that a restarted node is a new one. */
+static uint64_t draw_node_id(void)
+{
+	uint64_t node_id = ((uint64_t)g_random_int() << 32) | g_random_int();
+
+	return node_id != NODE_NONE ? node_id : 1;
+}
+
+static bool make_config(struct shallotd *daemon, GError **error)
+{
+	struct config_task_options options = {
+		.settings = daemon->settings,
+		.node_id = draw_node_id(),
+		.work_tasks = daemon->work_tasks,
+		.work_task_count = WORK_TASK_COUNT,
+		.admin = admin_task_task(daemon->admin),
+	};
+
+	if (!has_store(daemon))
+		return true;
+	daemon->config = config_task_new(&options, error);
+	if (!daemon->config)
+		return false;
+	daemon->sources[WORK_TASK_COUNT] = config_task_task(daemon->config);
+	return true;
+}
+
+static bool make_tasks(struct shallotd *daemon, GError **error)
+{
 	struct request_task_options request_options = {
 		.settings = daemon->settings,
 	};
@@ -39,8 +86,9 @@
 		return false;
 	daemon->work_tasks[0] = packet_task_task(daemon->packets);
 	daemon->work_tasks[1] = request_task_task(daemon->requests);
-	daemon->admin = admin_task_new(&admin_options, error);
-	return daemon->admin != NULL;
+	for (uint32_t i = 0; i < WORK_TASK_COUNT; i++)
+		daemon->sources[i] = daemon->work_tasks[i];
+	return make_admin(daemon, error) && make_config(daemon, error);
 }
 
 static bool start_tasks(struct shallotd *daemon, GError **error)
@@ -49,6 +97,9 @@
 		if (!task_start(daemon->work_tasks[i], error))
 			return false;
 	}
+	if (daemon->config &&
+	    !task_start(config_task_task(daemon->config), error))
+		return false;
 	return task_start(admin_task_task(daemon->admin), error);
 }
 
@@ -95,7 +146,11 @@
 {
 	if (!daemon)
 		return;
+	/* Tasks post to each other, so the last reader is freed last. */
+	if (daemon->config)
+		task_stop(config_task_task(daemon->config));
 	admin_task_free(daemon->admin);
+	config_task_free(daemon->config);
 	request_task_free(daemon->requests);
 	packet_task_free(daemon->packets);
 	drain_task_free(daemon->drain);
