Print lines that left the file without a place

Cause: a line that is no longer in the file was printed at 0:0. Change: it is printed with the file's name alone; JSON keeps line 0.

--- a/ctl/src/sync_printer.c
+++ b/ctl/src/sync_printer.c
@@ -40,7 +40,7 @@
 	g_free(printer);
 }
 
-static void print_json(const struct sync_printer *printer, json_t *object)
+static void print_json(json_t *object)
 {
 	char *text = json_dumps(object, JSON_COMPACT);
 
@@ -49,25 +49,39 @@
 	json_decref(object);
 }
 
+/* A line that has left the file has no place in it. */
+static void print_place(const struct sync_printer *printer,
+			const struct rules_outcome *outcome)
+{
+	if (outcome->number > 0)
+		printf("%s:%u:%u: ", printer->path, outcome->number,
+		       outcome->column);
+	else
+		printf("%s: ", printer->path);
+}
+
+static json_t *outcome_object(const struct sync_printer *printer,
+			      const struct rules_outcome *outcome)
+{
+	return json_pack("{s:s, s:i, s:i, s:s, s:s, s:I, s:s}", "file",
+			 printer->path, "line", (int)outcome->number, "column",
+			 (int)outcome->column, "service", outcome->name,
+			 "verdict", rules_verdict_name(outcome->verdict),
+			 "revision", (json_int_t)outcome->generation, "reason",
+			 outcome->reason);
+}
+
 static void print_outcome(const struct sync_printer *printer,
 			  const struct rules_outcome *outcome)
 {
-	const char *verdict = rules_verdict_name(outcome->verdict);
-
-	if (printer->is_json)
-		print_json(
-			printer,
-			json_pack("{s:s, s:i, s:i, s:s, s:s, s:I, s:s}", "file",
-				  printer->path, "line", (int)outcome->number,
-				  "column", (int)outcome->column, "service",
-				  outcome->name, "verdict", verdict, "revision",
-				  (json_int_t)outcome->generation, "reason",
-				  outcome->reason));
-	else
-		printf("%s:%u:%u: %s %s%s%s\n", printer->path, outcome->number,
-		       outcome->column, outcome->name[0] ? outcome->name : "?",
-		       verdict, outcome->reason[0] ? ": " : "",
-		       outcome->reason);
+	if (printer->is_json) {
+		print_json(outcome_object(printer, outcome));
+	} else {
+		print_place(printer, outcome);
+		printf("%s %s%s%s\n", outcome->name[0] ? outcome->name : "?",
+		       rules_verdict_name(outcome->verdict),
+		       outcome->reason[0] ? ": " : "", outcome->reason);
+	}
 	fflush(stdout);
 }
 
@@ -117,22 +131,26 @@
 	}
 }
 
+static json_t *in_force_object(const struct sync_printer *printer,
+			       const struct printed_line *line,
+			       uint32_t node_count)
+{
+	return json_pack("{s:s, s:s, s:I, s:i, s:i}", "file", printer->path,
+			 "service", line->outcome.name, "revision",
+			 (json_int_t)line->outcome.generation, "in_force",
+			 (int)line->in_force, "nodes", (int)node_count);
+}
+
 static void print_in_force(const struct sync_printer *printer,
 			   const struct printed_line *line, uint32_t node_count)
 {
-	const struct rules_outcome *outcome = &line->outcome;
-
-	if (printer->is_json)
-		print_json(printer, json_pack("{s:s, s:s, s:I, s:i, s:i}",
-					      "file", printer->path, "service",
-					      outcome->name, "revision",
-					      (json_int_t)outcome->generation,
-					      "in_force", (int)line->in_force,
-					      "nodes", (int)node_count));
-	else
-		printf("%s:%u:%u: %s in force on %u of %u nodes\n",
-		       printer->path, outcome->number, outcome->column,
-		       outcome->name, line->in_force, node_count);
+	if (printer->is_json) {
+		print_json(in_force_object(printer, line, node_count));
+	} else {
+		print_place(printer, &line->outcome);
+		printf("%s in force on %u of %u nodes\n", line->outcome.name,
+		       line->in_force, node_count);
+	}
 	fflush(stdout);
 }
 
