--- a/core/include/core/rules_gossip.h
+++ b/core/include/core/rules_gossip.h
@@ -20,7 +20,8 @@
  * whether this node should hold a watch, and repair_store asks to write the
  * replica back because the store has lost some of it. changed says that other
  * rules are in force. report_zone says that the zone's reports changed and
- * that this node is the one to publish them.
+ * that this node is the one to publish them. roster_changed brings a roster of
+ * a later epoch.
  */
 struct rules_gossip_options {
 	uint64_t self_id;
@@ -35,6 +36,7 @@
 	void (*repair_store)(void *context);
 	void (*changed)(void *context, const struct rule_set *rules);
 	void (*report_zone)(void *context);
+	void (*roster_changed)(void *context, const struct roster *roster);
 };
 
 struct rules_gossip *
@@ -47,9 +49,13 @@
 void rules_gossip_take_store(struct rules_gossip *gossip,
 			     const struct rules_document *document,
 			     int64_t now_ms);
+void rules_gossip_take_roster(struct rules_gossip *gossip,
+			      const struct roster *roster, int64_t now_ms);
 void rules_gossip_tick(struct rules_gossip *gossip, int64_t now_ms);
 bool rules_gossip_is_known(const struct rules_gossip *gossip);
+bool rules_gossip_is_watcher(const struct rules_gossip *gossip);
 bool rules_gossip_is_reporter(const struct rules_gossip *gossip);
+const struct roster *rules_gossip_roster(const struct rules_gossip *gossip);
 const struct rules_replica *
 rules_gossip_replica(const struct rules_gossip *gossip);
 GArray *rules_gossip_reports(const struct rules_gossip *gossip);
--- a/core/src/config_message.c
+++ b/core/src/config_message.c
@@ -23,6 +23,7 @@
 
 	*copy = *message;
 	copy->lines = lines;
+	copy->roster = g_memdup2(message->roster, sizeof(*message->roster));
 	for (guint i = 0; i < message->lines->len; i++)
 		g_ptr_array_add(lines, rules_line_copy(g_ptr_array_index(
 					       message->lines, i)));
@@ -35,5 +36,6 @@
 	if (!message)
 		return;
 	g_ptr_array_free(message->lines, TRUE);
+	g_free(message->roster);
 	g_free(message);
 }
--- a/core/src/rules_gossip.c
+++ b/core/src/rules_gossip.c
@@ -24,6 +24,7 @@
 	struct rules_gossip_options options;
 	struct rules_replica *replica;
 	struct gossip_reports *reports;
+	struct roster roster;
 	struct gossip_peers *peers;
 	GRand *rand;
 	uint64_t known_revision;
@@ -96,6 +97,7 @@
 	message->digest = rules_document_digest(held(gossip));
 	message->held_count = rules_replica_held_count(gossip->replica);
 	message->is_known = gossip->is_known;
+	message->roster_epoch = gossip->roster.epoch;
 	return message;
 }
 
@@ -114,7 +116,8 @@
 	send(gossip, node_id, message);
 }
 
-static bool is_watcher(const struct rules_gossip *gossip)
+/* Tells whether this node is one of the few of its zone that use the store. */
+bool rules_gossip_is_watcher(const struct rules_gossip *gossip)
 {
 	return gossip_peers_rank(gossip->peers) < WATCHERS_PER_ZONE;
 }
@@ -215,7 +218,10 @@
 		pull(gossip, node_id, 0, now_ms);
 	else if (message->revision == revision)
 		become_known(gossip);
-	if (message->wants_reply && !is_equal)
+	if (message->roster_epoch > gossip->roster.epoch)
+		pull(gossip, node_id, revision, now_ms);
+	if (message->wants_reply &&
+	    (!is_equal || message->roster_epoch < gossip->roster.epoch))
 		send_digest(gossip, node_id, false);
 }
 
@@ -230,11 +236,19 @@
 		send_digest(gossip, node_id, false);
 }
 
-/* Answers with all lines newer than asked for. */
+static void send_roster(struct rules_gossip *gossip, uint64_t node_id)
+{
+	struct config_message *message = make_message(gossip, CONFIG_ROSTER);
+
+	message->roster = g_memdup2(&gossip->roster, sizeof(gossip->roster));
+	send(gossip, node_id, message);
+}
+
+/* Answers with all lines newer than asked for, and with a newer roster. */
 static void answer_pull(struct rules_gossip *gossip, uint64_t node_id,
-			uint64_t since)
+			const struct config_message *pull_message)
 {
-	GPtrArray *deltas = config_deltas(held(gossip), since);
+	GPtrArray *deltas = config_deltas(held(gossip), pull_message->since);
 
 	for (guint i = 0; i < deltas->len; i++) {
 		struct config_message *delta = g_ptr_array_index(deltas, i);
@@ -243,6 +257,8 @@
 		send(gossip, node_id, delta);
 	}
 	g_ptr_array_free(deltas, TRUE);
+	if (pull_message->roster_epoch < gossip->roster.epoch)
+		send_roster(gossip, node_id);
 }
 
 static void take_delta(struct rules_gossip *gossip,
@@ -265,6 +281,19 @@
 	become_known(gossip);
 }
 
+/* Takes a roster from the store or a peer; epochs only rise. */
+void rules_gossip_take_roster(struct rules_gossip *gossip,
+			      const struct roster *roster, int64_t now_ms)
+{
+	if (roster->epoch <= gossip->roster.epoch)
+		return;
+	gossip->roster = *roster;
+	gossip->news_ms = now_ms;
+	gossip->is_notice_due = true;
+	gossip->options.roster_changed(gossip->options.context,
+				       &gossip->roster);
+}
+
 /* Takes a message from another node. */
 void rules_gossip_receive(struct rules_gossip *gossip, uint64_t node_id,
 			  const struct config_message *message, int64_t now_ms)
@@ -277,12 +306,15 @@
 		break;
 	case CONFIG_PULL:
 		if (gossip->is_known)
-			answer_pull(gossip, node_id, message->since);
+			answer_pull(gossip, node_id, message);
 		break;
 	case CONFIG_DELTA:
 		if (message->is_known)
 			take_delta(gossip, message, now_ms);
 		break;
+	case CONFIG_ROSTER:
+		rules_gossip_take_roster(gossip, message->roster, now_ms);
+		break;
 	case CONFIG_KIND_COUNT:
 		break;
 	}
@@ -300,7 +332,7 @@
 	if (rules_replica_join(gossip->replica, document) > 0)
 		take_news(gossip, now_ms);
 	become_known(gossip);
-	if (is_watcher(gossip) &&
+	if (rules_gossip_is_watcher(gossip) &&
 	    now_ms - gossip->repair_ms >= REPAIR_INTERVAL_MS &&
 	    !rules_document_covers(document, held(gossip))) {
 		gossip->repair_ms = now_ms;
@@ -312,14 +344,14 @@
 void rules_gossip_set_nodes(struct rules_gossip *gossip,
 			    const struct node_view *view, int64_t now_ms)
 {
-	bool was_watcher = is_watcher(gossip);
+	bool was_watcher = rules_gossip_is_watcher(gossip);
 
 	gossip_peers_set(gossip->peers, view);
 	if (gossip_reports_set_nodes(gossip->reports, view))
 		gossip->is_report_due = true;
-	if (is_watcher(gossip) != was_watcher)
+	if (rules_gossip_is_watcher(gossip) != was_watcher)
 		gossip->options.watch_store(gossip->options.context,
-					    is_watcher(gossip));
+					    rules_gossip_is_watcher(gossip));
 	settle(gossip);
 }
 
@@ -347,9 +379,10 @@
 /* Watchers read besides, as a watch can stall without a sign. */
 static void tick_store(struct rules_gossip *gossip, int64_t now_ms)
 {
-	bool is_due = is_watcher(gossip) ? now_ms - gossip->read_ms >=
-						   WATCHER_READ_INTERVAL_MS
-					 : is_read_due(gossip, now_ms);
+	bool is_due =
+		rules_gossip_is_watcher(gossip)
+			? now_ms - gossip->read_ms >= WATCHER_READ_INTERVAL_MS
+			: is_read_due(gossip, now_ms);
 
 	if (is_due)
 		read_store(gossip, now_ms);
@@ -383,7 +416,7 @@
 	gossip->report_ms =
 		now_ms - g_rand_int_range(gossip->rand, 0, REPORT_INTERVAL_MS);
 	gossip->read_ms = now_ms;
-	if (is_watcher(gossip))
+	if (rules_gossip_is_watcher(gossip))
 		read_store(gossip, now_ms);
 }
 
@@ -421,6 +454,12 @@
 	return gossip_peers_rank(gossip->peers) == 0;
 }
 
+/* Returns the roster of the highest epoch heard of; epoch 0 is none. */
+const struct roster *rules_gossip_roster(const struct rules_gossip *gossip)
+{
+	return &gossip->roster;
+}
+
 /* Returns what this node holds and has in force. */
 const struct rules_replica *
 rules_gossip_replica(const struct rules_gossip *gossip)
--- /dev/null
+++ b/core/test/roster_choice_test.c
@@ -0,0 +1,98 @@
+#include <core/roster_choice.h>
+#include <fakes/test_main.h>
+#include <glib.h>
+
+#define NODE_MAX 40
+#define STEP_MAX 4
+
+/*
+ * One view: how many nodes it has, how many of the first of them are dead,
+ * when it is seen, and the epoch and member count that follow.
+ */
+struct view_step {
+	int64_t now_ms;
+	uint32_t node_count;
+	uint32_t dead_count;
+	uint64_t epoch;
+	uint32_t member_count;
+};
+
+static const struct {
+	const char *name;
+	struct view_step steps[STEP_MAX];
+} rows[] = {
+	{"first-roster-waits-for-a-steady-view",
+	 {{0, 7, 0, 0, 0}, {4999, 7, 0, 0, 0}, {5000, 7, 0, 1, 7}}},
+	{"flapping-node-changes-nothing",
+	 {{0, 7, 0, 0, 0},
+	  {5000, 7, 0, 1, 7},
+	  {6000, 7, 1, 1, 7},
+	  {12000, 7, 0, 1, 7}}},
+	{"dead-node-leaves",
+	 {{0, 7, 0, 0, 0},
+	  {5000, 7, 0, 1, 7},
+	  {6000, 7, 1, 1, 7},
+	  {11000, 7, 1, 2, 6}}},
+	{"minority-side-changes-nothing",
+	 {{0, 7, 0, 0, 0},
+	  {5000, 7, 0, 1, 7},
+	  {6000, 7, 4, 1, 7},
+	  {64000, 7, 4, 1, 7}}},
+	{"fleet-replaced-as-a-whole",
+	 {{0, 7, 0, 0, 0},
+	  {5000, 7, 0, 1, 7},
+	  {6000, 14, 7, 1, 7},
+	  {66000, 14, 7, 2, 7}}},
+	{"many-nodes-fill-the-roster",
+	 {{0, 40, 0, 0, 0}, {5000, 40, 0, 1, ROSTER_MEMBERS_MAX}}},
+};
+
+static struct node_view *view_of(const struct view_step *step)
+{
+	struct node *nodes = g_new0(struct node, NODE_MAX);
+	struct node_view *view;
+
+	for (uint32_t i = 0; i < step->node_count; i++) {
+		nodes[i].node_id = i + 1;
+		nodes[i].zone_id = 1 + i % 4;
+		nodes[i].state =
+			i < step->dead_count ? NODE_DEAD : NODE_SERVING;
+	}
+	view = node_view_new(NODE_MAX, 1, nodes, step->node_count);
+	g_free(nodes);
+	return view;
+}
+
+START_TEST(test_choice)
+{
+	struct roster_choice *choice = roster_choice_new();
+	struct roster held = {.epoch = 0};
+
+	test_row("roster_choice", rows[_i].name);
+	for (int i = 0; i < STEP_MAX && rows[_i].steps[i].node_count; i++) {
+		const struct view_step *step = &rows[_i].steps[i];
+		struct node_view *view = view_of(step);
+		struct roster next;
+
+		if (roster_choice_next(choice, &next, &held, view,
+				       step->now_ms))
+			held = next;
+		ck_assert_uint_eq(held.epoch, step->epoch);
+		ck_assert_uint_eq(held.epochs[0].member_count,
+				  step->member_count);
+		node_view_free(view);
+	}
+	roster_choice_free(choice);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("roster_choice");
+	TCase *tcase = tcase_create("choice");
+
+	tcase_add_loop_test(tcase, test_choice, 0,
+			    sizeof(rows) / sizeof(rows[0]));
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
--- a/daemon/include/daemon/config_task.h
+++ b/daemon/include/daemon/config_task.h
@@ -13,7 +13,8 @@
 /*
  * work_tasks get rules_message and target_state_message, admin gets
  * ready_message once the rules are known, control carries messages to other
- * nodes; NULL control is a node without peers. All must outlive the task.
+ * nodes, claims gets roster_message. NULL control is a node without peers, NULL
+ * claims one that needs no roster. All must outlive the task.
  */
 struct config_task_options {
 	const struct settings *settings;
@@ -22,6 +23,7 @@
 	uint32_t work_task_count;
 	struct task *admin;
 	struct task *control;
+	struct task *claims;
 };
 
 struct config_task *config_task_new(const struct config_task_options *options,
--- a/daemon/src/config_task.c
+++ b/daemon/src/config_task.c
@@ -2,6 +2,7 @@
 
 #include "config_counters.h"
 #include "config_store.h"
+#include "roster_keeper.h"
 #include "target_watch.h"
 #include "zone_reporter.h"
 
@@ -12,6 +13,7 @@
 #include <daemon/metrics_message.h>
 #include <daemon/nodes_message.h>
 #include <daemon/ready_message.h>
+#include <daemon/roster_message.h>
 #include <daemon/rules_message.h>
 #include <daemon/target_state_message.h>
 #include <inttypes.h>
@@ -27,6 +29,9 @@
 #define TICK_MS 200
 #define VM_LIST_INTERVAL_MS 1000
 
+/* A node that has just started may not have heard of the last epoch. */
+#define ROSTER_START_MS 10000
+
 struct config_task {
 	struct config_task_options options;
 	const struct settings *settings;
@@ -39,10 +44,13 @@
 	struct kv_client *client;
 	struct config_store *store;
 	struct zone_reporter *reporter;
+	struct roster_keeper *keeper;
+	struct node_view *nodes;
 	struct vm_list_client *vm_list;
 	struct target_watch *targets;
 	struct rules_gossip *gossip;
 	uint64_t publish_mask;
+	int64_t start_ms;
 	bool is_ready_told;
 };
 
@@ -188,6 +196,39 @@
 			     target_state_message_new(target_id, state));
 }
 
+static void on_roster_changed(void *context, const struct roster *roster)
+{
+	struct config_task *config = context;
+
+	log_write(config->log, LOG_LEVEL_NOTICE, "roster",
+		  "epoch=%" PRIu64 " members=%u", roster->epoch,
+		  roster->epochs[0].member_count);
+	if (config->options.claims)
+		post_or_free(config->options.claims,
+			     roster_message_new(roster));
+}
+
+static void on_stored_roster(void *context, const struct roster *roster)
+{
+	struct config_task *config = context;
+
+	rules_gossip_take_roster(config->gossip, roster, task_now_ms());
+}
+
+static void tick_roster(struct config_task *config, int64_t now_ms)
+{
+	struct roster_keeper_view view = {
+		.is_reader = rules_gossip_is_watcher(config->gossip),
+		.is_writer = rules_gossip_is_reporter(config->gossip) &&
+			     rules_gossip_is_known(config->gossip) &&
+			     now_ms - config->start_ms >= ROSTER_START_MS,
+		.nodes = config->nodes,
+		.held = rules_gossip_roster(config->gossip),
+	};
+
+	roster_keeper_tick(config->keeper, &view, now_ms);
+}
+
 static void on_tick(void *context)
 {
 	struct config_task *config = context;
@@ -195,6 +236,7 @@
 
 	rules_gossip_tick(config->gossip, now_ms);
 	zone_reporter_tick(config->reporter, now_ms);
+	tick_roster(config, now_ms);
 	publish(config);
 }
 
@@ -238,6 +280,29 @@
 	return config->client != NULL;
 }
 
+static void open_roster(struct config_task *config)
+{
+	const struct settings *settings = config->settings;
+	char *key =
+		g_strdup_printf("%s/roster/%s", settings->platform.key_prefix,
+				settings->region);
+	char *lease_key = g_strdup_printf("%s/roster-lease/%s",
+					  settings->platform.key_prefix,
+					  settings->region);
+	struct roster_keeper_options options = {
+		.client = config->client,
+		.key = key,
+		.lease_key = lease_key,
+		.context = config,
+		.on_roster = on_stored_roster,
+		.on_failed = on_store_failed,
+	};
+
+	config->keeper = roster_keeper_new(&options);
+	g_free(key);
+	g_free(lease_key);
+}
+
 static void open_vm_list(struct config_task *config, struct task *task)
 {
 	const struct platform_settings *platform = &config->settings->platform;
@@ -274,6 +339,7 @@
 		.repair_store = on_repair_store,
 		.changed = on_changed,
 		.report_zone = on_report_zone,
+		.roster_changed = on_roster_changed,
 	};
 
 	config->gossip = rules_gossip_new(&options);
@@ -291,7 +357,7 @@
 	struct node_view *view = node_view_new(self.node_id, 1, &self, 1);
 
 	rules_gossip_set_nodes(config->gossip, view, task_now_ms());
-	node_view_free(view);
+	config->nodes = view;
 }
 
 static bool start(void *context, struct task *task, GError **error)
@@ -300,6 +366,8 @@
 
 	if (!open_store(config, task, error))
 		return false;
+	config->start_ms = task_now_ms();
+	open_roster(config);
 	open_vm_list(config, task);
 	start_gossip(config);
 	if (!config->options.control)
@@ -333,7 +401,8 @@
 	struct node_view *view = nodes_message_take(message);
 
 	rules_gossip_set_nodes(config->gossip, view, task_now_ms());
-	node_view_free(view);
+	node_view_free(config->nodes);
+	config->nodes = view;
 }
 
 static void answer_metrics(struct config_task *config, struct message *message)
@@ -376,6 +445,8 @@
 	vm_list_client_free(config->vm_list);
 	target_watch_free(config->targets);
 	zone_reporter_free(config->reporter);
+	roster_keeper_free(config->keeper);
+	node_view_free(config->nodes);
 	config_store_free(config->store);
 	kv_client_free(config->client);
 	g_free(config->rules_key);
--- /dev/null
+++ b/daemon/test/roster_keeper_test.c
@@ -0,0 +1,233 @@
+#include "roster_keeper.h"
+
+#include <fakes/fake_kv.h>
+#include <fakes/test_main.h>
+#include <string.h>
+
+#define NODE_COUNT 5
+#define KEEPER_COUNT 2
+#define STEP_MAX 12
+#define TIMEOUT_MS 2000
+
+enum action {
+	ACTION_END,
+	ACTION_TICK,
+	ACTION_TICK_READER,
+	ACTION_FAIL_NODE,
+	ACTION_LOSE_ANSWER,
+	ACTION_SNAPSHOT,
+	ACTION_RESTORE,
+	ACTION_EXPECT_EPOCH,
+};
+
+/*
+ * A tick is of keeper number at now_ms. An epoch is expected of the keeper
+ * that now_ms names. number answers are spared before one is lost.
+ */
+struct step {
+	enum action action;
+	uint64_t number;
+	int64_t now_ms;
+};
+
+/* A tick reads when two seconds have passed, else it may write. */
+static const struct {
+	const char *name;
+	struct step steps[STEP_MAX];
+} rows[] = {
+	{"first-roster",
+	 {{ACTION_TICK, 0, 0},
+	  {ACTION_TICK, 0, 100},
+	  {ACTION_TICK, 0, 5000},
+	  {ACTION_TICK, 0, 5200},
+	  {ACTION_EXPECT_EPOCH, 1, 0}}},
+	{"reader-writes-nothing",
+	 {{ACTION_TICK_READER, 0, 0},
+	  {ACTION_TICK_READER, 0, 100},
+	  {ACTION_TICK_READER, 0, 5000},
+	  {ACTION_TICK_READER, 0, 5200},
+	  {ACTION_EXPECT_EPOCH, 0, 0}}},
+	{"paused-writer-undoes-nothing",
+	 {{ACTION_TICK, 0, 0},
+	  {ACTION_TICK, 0, 100},
+	  {ACTION_TICK, 1, 0},
+	  {ACTION_TICK, 1, 100},
+	  {ACTION_TICK, 0, 5200},
+	  {ACTION_TICK, 1, 5200},
+	  {ACTION_TICK, 1, 5300},
+	  {ACTION_EXPECT_EPOCH, 1, 1},
+	  {ACTION_TICK, 0, 5300},
+	  {ACTION_EXPECT_EPOCH, 0, 0},
+	  {ACTION_TICK, 0, 5400},
+	  {ACTION_EXPECT_EPOCH, 1, 0}}},
+	{"answer-to-the-lease-lost",
+	 {{ACTION_TICK, 0, 0},
+	  {ACTION_TICK, 0, 100},
+	  {ACTION_LOSE_ANSWER, 0, 0},
+	  {ACTION_TICK, 0, 5000},
+	  {ACTION_TICK, 0, 5200},
+	  {ACTION_EXPECT_EPOCH, 0, 0},
+	  {ACTION_TICK, 0, 9000},
+	  {ACTION_TICK, 0, 9200},
+	  {ACTION_EXPECT_EPOCH, 1, 0}}},
+	{"answer-to-the-roster-lost",
+	 {{ACTION_TICK, 0, 0},
+	  {ACTION_TICK, 0, 100},
+	  {ACTION_LOSE_ANSWER, 2, 0},
+	  {ACTION_TICK, 0, 5000},
+	  {ACTION_TICK, 0, 5200},
+	  {ACTION_EXPECT_EPOCH, 0, 0},
+	  {ACTION_TICK, 0, 9000},
+	  {ACTION_EXPECT_EPOCH, 1, 0}}},
+	{"roster-of-a-restored-store-is-written-back",
+	 {{ACTION_SNAPSHOT, 0, 0},
+	  {ACTION_TICK, 0, 0},
+	  {ACTION_TICK, 0, 100},
+	  {ACTION_TICK, 0, 5000},
+	  {ACTION_TICK, 0, 5200},
+	  {ACTION_RESTORE, 0, 0},
+	  {ACTION_TICK, 0, 8000},
+	  {ACTION_TICK, 0, 8200},
+	  {ACTION_TICK_READER, 1, 0},
+	  {ACTION_EXPECT_EPOCH, 1, 1}}},
+};
+
+/* One keeper and the roster of the highest epoch it has told of. */
+struct holder {
+	struct roster_keeper *keeper;
+	struct roster held;
+};
+
+struct fixture {
+	struct event_base *base;
+	struct fake_kv *kv;
+	struct kv_client *client;
+	struct holder holders[KEEPER_COUNT];
+	struct node_view *view;
+};
+
+static void on_roster(void *context, const struct roster *roster)
+{
+	struct holder *holder = context;
+
+	if (roster->epoch > holder->held.epoch)
+		holder->held = *roster;
+}
+
+static void on_failed(void *context, const char *reason)
+{
+}
+
+static void setup(struct fixture *fixture)
+{
+	struct fake_kv_options kv_options = {.token = NULL};
+	struct kv_client_options options = {.timeout_ms = TIMEOUT_MS};
+	struct node *nodes = g_new0(struct node, NODE_COUNT);
+
+	memset(fixture, 0, sizeof(*fixture));
+	endpoint_parse(&kv_options.listen, "127.0.0.1:1");
+	kv_options.listen.port = 0;
+	fixture->kv = fake_kv_new(&kv_options, NULL);
+	fixture->base = event_base_new();
+	options.base = fixture->base;
+	options.server = fake_kv_endpoint(fixture->kv);
+	fixture->client = kv_client_new(&options, NULL);
+	for (uint32_t i = 0; i < NODE_COUNT; i++)
+		nodes[i] = (struct node){.node_id = i + 1,
+					 .zone_id = 1 + i % 2,
+					 .state = NODE_SERVING};
+	fixture->view = node_view_new(1, 1, nodes, NODE_COUNT);
+	g_free(nodes);
+	for (uint32_t i = 0; i < KEEPER_COUNT; i++) {
+		struct roster_keeper_options keeper_options = {
+			.client = fixture->client,
+			.key = "/roster",
+			.lease_key = "/roster-lease",
+			.context = &fixture->holders[i],
+			.on_roster = on_roster,
+			.on_failed = on_failed,
+		};
+
+		fixture->holders[i].keeper = roster_keeper_new(&keeper_options);
+	}
+}
+
+static void teardown(struct fixture *fixture)
+{
+	for (uint32_t i = 0; i < KEEPER_COUNT; i++)
+		roster_keeper_free(fixture->holders[i].keeper);
+	node_view_free(fixture->view);
+	kv_client_free(fixture->client);
+	event_base_free(fixture->base);
+	fake_kv_free(fixture->kv);
+}
+
+static void tick(struct fixture *fixture, const struct step *step)
+{
+	struct holder *holder = &fixture->holders[step->number];
+	struct roster_keeper_view view = {
+		.is_reader = true,
+		.is_writer = step->action == ACTION_TICK,
+		.nodes = fixture->view,
+		.held = &holder->held,
+	};
+
+	roster_keeper_tick(holder->keeper, &view, step->now_ms);
+	while (!roster_keeper_is_idle(holder->keeper))
+		event_base_loop(fixture->base, EVLOOP_ONCE);
+}
+
+static void run(struct fixture *fixture, const struct step *step,
+		const char *name)
+{
+	struct fake_kv_fault fault = {.delay_ms = 0};
+
+	switch (step->action) {
+	case ACTION_TICK:
+	case ACTION_TICK_READER:
+		tick(fixture, step);
+		break;
+	case ACTION_LOSE_ANSWER:
+		fault.lost_answer_count = 1;
+		fault.lost_answer_skip = (uint32_t)step->number;
+		fake_kv_set_fault(fixture->kv, &fault);
+		break;
+	case ACTION_SNAPSHOT:
+		fake_kv_snapshot(fixture->kv);
+		break;
+	case ACTION_RESTORE:
+		fake_kv_restore(fixture->kv);
+		break;
+	case ACTION_EXPECT_EPOCH:
+		ck_assert_msg(fixture->holders[step->now_ms].held.epoch ==
+				      step->number,
+			      "%s: epoch %d", name, (int)step->number);
+		break;
+	default:
+		break;
+	}
+}
+
+START_TEST(test_keeper)
+{
+	struct fixture fixture;
+
+	test_row("roster_keeper", rows[_i].name);
+	setup(&fixture);
+	for (int i = 0; i < STEP_MAX; i++)
+		run(&fixture, &rows[_i].steps[i], rows[_i].name);
+	teardown(&fixture);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("roster_keeper");
+	TCase *tcase = tcase_create("keeper");
+
+	tcase_set_timeout(tcase, 60);
+	tcase_add_loop_test(tcase, test_keeper, 0,
+			    sizeof(rows) / sizeof(rows[0]));
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
--- a/fakes/include/fakes/fake_kv_fault.h
+++ b/fakes/include/fakes/fake_kv_fault.h
@@ -6,13 +6,15 @@
 
 /*
  * What goes wrong in the stand-in store: every call is cut off without an
- * effect, answers come late, the answers to the next writes are lost after
- * their effect, or watches stay open and say nothing.
+ * effect, answers come late, the answers to some writes, of which the first
+ * are spared, are lost after their effect, watches stay open and say nothing,
+ * or answers are cut in half.
  */
 struct fake_kv_fault {
 	bool is_down;
 	uint32_t delay_ms;
 	uint32_t lost_answer_count;
+	uint32_t lost_answer_skip;
 	bool is_watch_stalled;
 	bool is_garbled;
 };
--- a/fakes/src/fake_kv.c
+++ b/fakes/src/fake_kv.c
@@ -202,6 +202,18 @@
 	send_events(kv, watch);
 }
 
+static bool is_answer_lost(struct fake_kv *kv)
+{
+	if (kv->fault.lost_answer_skip > 0) {
+		kv->fault.lost_answer_skip--;
+		return false;
+	}
+	if (kv->fault.lost_answer_count == 0)
+		return false;
+	kv->fault.lost_answer_count--;
+	return true;
+}
+
 static void run_route(struct fake_kv *kv, const struct fake_kv_route *route,
 		      struct evhttp_request *request, const json_t *body)
 {
@@ -215,8 +227,7 @@
 		kv->read_count++;
 	if (kv->fault.is_garbled && strlen(text) > 1)
 		text[strlen(text) / 2] = '\0';
-	if (route->is_write && kv->fault.lost_answer_count > 0) {
-		kv->fault.lost_answer_count--;
+	if (route->is_write && is_answer_lost(kv)) {
 		http_cut(request);
 		free(text);
 	} else if (kv->fault.delay_ms > 0) {
--- a/fakes/src/fleet_node.c
+++ b/fakes/src/fleet_node.c
@@ -79,6 +79,10 @@
 	node->fleet->counts.report_count++;
 }
 
+static void node_roster_changed(void *context, const struct roster *roster)
+{
+}
+
 static void on_tick(void *context)
 {
 	struct fleet_node *node = context;
@@ -129,6 +133,7 @@
 		.repair_store = node_repair_store,
 		.changed = node_changed,
 		.report_zone = node_report_zone,
+		.roster_changed = node_roster_changed,
 	};
 
 	node->gossip = rules_gossip_new(&options);
--- a/wire/gen/config.c
+++ b/wire/gen/config.c
@@ -47,6 +47,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_known))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->roster_epoch))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -86,3 +88,39 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_xdr_config_member (XDR *xdrs, xdr_config_member *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->node_id))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->zone_id))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_xdr_config_epoch (XDR *xdrs, xdr_config_epoch *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, CONFIG_MEMBERS_MAX,
+		sizeof (xdr_config_member), (xdrproc_t) xdr_xdr_config_member))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_xdr_config_roster (XDR *xdrs, xdr_config_roster *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_xdr_config_state (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->epochs.epochs_val, (u_int *) &objp->epochs.epochs_len, CONFIG_EPOCHS_MAX,
+		sizeof (xdr_config_epoch), (xdrproc_t) xdr_xdr_config_epoch))
+		 return FALSE;
+	return TRUE;
+}
--- a/wire/gen/config.h
+++ b/wire/gen/config.h
@@ -18,6 +18,8 @@
 #define CONFIG_EXTRA_MAX 65536
 #define CONFIG_FORMER_MAX 16
 #define CONFIG_LINES_MAX 1024
+#define CONFIG_MEMBERS_MAX 64
+#define CONFIG_EPOCHS_MAX 16
 
 struct xdr_config_line {
 	char *name;
@@ -41,6 +43,7 @@
 	u_quad_t digest;
 	u_int held_count;
 	bool_t is_known;
+	u_quad_t roster_epoch;
 };
 typedef struct xdr_config_state xdr_config_state;
 
@@ -65,6 +68,29 @@
 };
 typedef struct xdr_config_delta xdr_config_delta;
 
+struct xdr_config_member {
+	u_quad_t node_id;
+	u_int zone_id;
+};
+typedef struct xdr_config_member xdr_config_member;
+
+struct xdr_config_epoch {
+	struct {
+		u_int members_len;
+		xdr_config_member *members_val;
+	} members;
+};
+typedef struct xdr_config_epoch xdr_config_epoch;
+
+struct xdr_config_roster {
+	xdr_config_state state;
+	struct {
+		u_int epochs_len;
+		xdr_config_epoch *epochs_val;
+	} epochs;
+};
+typedef struct xdr_config_roster xdr_config_roster;
+
 /* the xdr functions */
 
 #if defined(__STDC__) || defined(__cplusplus)
@@ -73,6 +99,9 @@
 extern  bool_t xdr_xdr_config_digest (XDR *, xdr_config_digest*);
 extern  bool_t xdr_xdr_config_pull (XDR *, xdr_config_pull*);
 extern  bool_t xdr_xdr_config_delta (XDR *, xdr_config_delta*);
+extern  bool_t xdr_xdr_config_member (XDR *, xdr_config_member*);
+extern  bool_t xdr_xdr_config_epoch (XDR *, xdr_config_epoch*);
+extern  bool_t xdr_xdr_config_roster (XDR *, xdr_config_roster*);
 
 #else /* K&R C */
 extern bool_t xdr_xdr_config_line ();
@@ -80,6 +109,9 @@
 extern bool_t xdr_xdr_config_digest ();
 extern bool_t xdr_xdr_config_pull ();
 extern bool_t xdr_xdr_config_delta ();
+extern bool_t xdr_xdr_config_member ();
+extern bool_t xdr_xdr_config_epoch ();
+extern bool_t xdr_xdr_config_roster ();
 
 #endif /* K&R C */
 
--- a/wire/include/wire/config_codec.h
+++ b/wire/include/wire/config_codec.h
@@ -11,6 +11,7 @@
 	PROCEDURE_CONFIG_DIGEST = PROCEDURE_CONFIG_FIRST,
 	PROCEDURE_CONFIG_PULL,
 	PROCEDURE_CONFIG_DELTA,
+	PROCEDURE_CONFIG_ROSTER,
 };
 
 uint32_t config_codec_procedure(enum config_kind kind);
--- a/wire/src/config_codec.c
+++ b/wire/src/config_codec.c
@@ -1,5 +1,7 @@
 #include <wire/config_codec.h>
 
+#include "config_roster_xdr.h"
+
 #include <config.h>
 #include <string.h>
 #include <wire/wire_error.h>
@@ -20,6 +22,8 @@
 			 sizeof(struct xdr_config_pull)},
 	[CONFIG_DELTA] = {CONFIG_DELTA, (xdrproc_t)xdr_xdr_config_delta,
 			  sizeof(struct xdr_config_delta)},
+	[CONFIG_ROSTER] = {CONFIG_ROSTER, (xdrproc_t)xdr_xdr_config_roster,
+			   sizeof(struct xdr_config_roster)},
 };
 
 /* Returns the procedure that carries a kind. */
@@ -56,6 +60,7 @@
 	xdr->digest = message->digest;
 	xdr->held_count = message->held_count;
 	xdr->is_known = message->is_known;
+	xdr->roster_epoch = message->roster_epoch;
 }
 
 /* The generated structs, of which a message fills one. */
@@ -64,6 +69,7 @@
 	struct xdr_config_digest digest;
 	struct xdr_config_pull pull;
 	struct xdr_config_delta delta;
+	struct xdr_config_roster roster;
 };
 
 static void message_to_xdr(union config_value *value,
@@ -74,6 +80,8 @@
 		value->digest.wants_reply = message->wants_reply;
 	if (message->kind == CONFIG_PULL)
 		value->pull.since = message->since;
+	if (message->kind == CONFIG_ROSTER)
+		config_roster_to_xdr(&value->roster, message->roster);
 	if (message->kind != CONFIG_DELTA)
 		return;
 	value->delta.lines.lines_len = message->lines->len;
@@ -113,6 +121,8 @@
 	}
 	if (message->kind == CONFIG_DELTA)
 		g_free(value.delta.lines.lines_val);
+	if (message->kind == CONFIG_ROSTER)
+		config_roster_free_xdr(&value.roster);
 	return bytes;
 }
 
@@ -146,10 +156,13 @@
 	message->digest = value->state.digest;
 	message->held_count = value->state.held_count;
 	message->is_known = value->state.is_known;
+	message->roster_epoch = value->state.roster_epoch;
 	if (kind == CONFIG_DIGEST)
 		message->wants_reply = value->digest.wants_reply;
 	if (kind == CONFIG_PULL)
 		message->since = value->pull.since;
+	if (kind == CONFIG_ROSTER)
+		message->roster = config_roster_from_xdr(&value->roster);
 	for (u_int i = 0;
 	     kind == CONFIG_DELTA && i < value->delta.lines.lines_len; i++)
 		g_ptr_array_add(
@@ -177,7 +190,9 @@
 	if (kind < CONFIG_KIND_COUNT && rows[kind].code(&xdr, &value) &&
 	    value.state.body_version >= CONFIG_BODY_VERSION)
 		message = message_from_xdr((enum config_kind)kind, &value);
-	else
+	if (message && kind == CONFIG_ROSTER && !message->roster)
+		g_clear_pointer(&message, config_message_free);
+	if (!message)
 		g_set_error(error, WIRE_ERROR, WIRE_ERROR_MALFORMED,
 			    "malformed configuration message, procedure %u",
 			    procedure);
--- a/wire/test/config_codec_test.c
+++ b/wire/test/config_codec_test.c
@@ -14,18 +14,22 @@
 } rows[] = {
 	{"digest-version-1", CONFIG_DIGEST,
 	 "00000001010203040506070811121314151617180000000300000001"
-	 "00000001"},
+	 "000000000000000200000001"},
 	{"pull-version-1", CONFIG_PULL,
 	 "00000001010203040506070811121314151617180000000300000001"
-	 "0000000000000005"},
+	 "00000000000000020000000000000005"},
 	{"delta-version-1", CONFIG_DELTA,
 	 "00000001010203040506070811121314151617180000000300000001"
-	 "00000002000000046465736b11223344556677880000000000000099"
-	 "00000002000000000000000e6465736b20763d322023204c696e0000"
-	 "0000000a6465736b2023204c696e0000000000020000000000000007"
-	 "00000000000000080000000d7b226f776e6572223a2278227d000000"
-	 "0000000473686f700000000000000000000000000000000000000001"
-	 "0000000100000000000000000000000000000000"},
+	 "000000000000000200000002000000046465736b1122334455667788"
+	 "000000000000009900000002000000000000000e6465736b20763d32"
+	 "2023204c696e00000000000a6465736b2023204c696e000000000002"
+	 "000000000000000700000000000000080000000d7b226f776e657222"
+	 "3a2278227d0000000000000473686f70000000000000000000000000"
+	 "00000000000000010000000100000000000000000000000000000000"},
+	{"roster-version-1", CONFIG_ROSTER,
+	 "00000001010203040506070811121314151617180000000300000001"
+	 "00000000000000020000000200000002000000000000000500000001"
+	 "00000000000000060000000200000001000000000000000500000001"},
 };
 
 static struct rules_line *sample_line(void)
@@ -43,6 +47,13 @@
 	return line;
 }
 
+static const struct roster sample_roster = {
+	.epoch = 2,
+	.epoch_count = 2,
+	.epochs = {{.member_count = 2, .members = {{5, 1}, {6, 2}}},
+		   {.member_count = 1, .members = {{5, 1}}}},
+};
+
 static struct config_message *sample(enum config_kind kind)
 {
 	struct config_message *message = config_message_new(kind);
@@ -51,12 +62,16 @@
 	message->digest = 0x1112131415161718;
 	message->held_count = 3;
 	message->is_known = true;
+	message->roster_epoch = sample_roster.epoch;
 	message->wants_reply = kind == CONFIG_DIGEST;
 	message->since = kind == CONFIG_PULL ? 5 : 0;
 	if (kind == CONFIG_DELTA) {
 		g_ptr_array_add(message->lines, sample_line());
 		g_ptr_array_add(message->lines, rules_line_new("shop", NULL));
 	}
+	if (kind == CONFIG_ROSTER)
+		message->roster =
+			g_memdup2(&sample_roster, sizeof(sample_roster));
 	return message;
 }
 
@@ -93,6 +108,15 @@
 				       g_ptr_array_index(expected->lines, i)));
 }
 
+static bool is_same_state(const struct config_message *a,
+			  const struct config_message *b)
+{
+	return a->revision == b->revision && a->digest == b->digest &&
+	       a->held_count == b->held_count && a->is_known == b->is_known &&
+	       a->wants_reply == b->wants_reply && a->since == b->since &&
+	       a->roster_epoch == b->roster_epoch;
+}
+
 static void check_bytes(const GByteArray *bytes, enum config_kind kind)
 {
 	struct config_message *expected = sample(kind);
@@ -100,12 +124,10 @@
 		config_codec_procedure(kind), bytes->data, bytes->len, NULL);
 
 	ck_assert_ptr_nonnull(found);
-	ck_assert_uint_eq(found->revision, expected->revision);
-	ck_assert_uint_eq(found->digest, expected->digest);
-	ck_assert_uint_eq(found->held_count, expected->held_count);
-	ck_assert_int_eq(found->is_known, expected->is_known);
-	ck_assert_int_eq(found->wants_reply, expected->wants_reply);
-	ck_assert_uint_eq(found->since, expected->since);
+	ck_assert(is_same_state(found, expected));
+	if (expected->roster)
+		ck_assert_mem_eq(found->roster, expected->roster,
+				 sizeof(*found->roster));
 	check_lines(found, expected);
 	config_message_free(found);
 	config_message_free(expected);
--- a/wire/x/config.x
+++ b/wire/x/config.x
@@ -8,6 +8,8 @@
 const CONFIG_EXTRA_MAX = 65536;
 const CONFIG_FORMER_MAX = 16;
 const CONFIG_LINES_MAX = 1024;
+const CONFIG_MEMBERS_MAX = 64;
+const CONFIG_EPOCHS_MAX = 16;
 
 struct xdr_config_line {
 	string name<CONFIG_NAME_MAX>;
@@ -27,6 +29,7 @@
 	unsigned hyper digest;
 	unsigned int held_count;
 	bool is_known;
+	unsigned hyper roster_epoch;
 };
 
 struct xdr_config_digest {
@@ -43,3 +46,17 @@
 	xdr_config_state state;
 	xdr_config_line lines<CONFIG_LINES_MAX>;
 };
+
+struct xdr_config_member {
+	unsigned hyper node_id;
+	unsigned int zone_id;
+};
+
+struct xdr_config_epoch {
+	xdr_config_member members<CONFIG_MEMBERS_MAX>;
+};
+
+struct xdr_config_roster {
+	xdr_config_state state;
+	xdr_config_epoch epochs<CONFIG_EPOCHS_MAX>;
+};
