Keep make's folder lines out of the output

Cause: nested make printed a line for each folder entered and left.

Change: --no-print-directory for the whole Makefile.

Conclusion: output of make demo starts with the demo.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
 # Entry points for people and CI; CMake does the work.
+MAKEFLAGS += --no-print-directory
 JOBS ?= $(shell nproc)
 DURATION_S ?= 15
 
