Measure floods in virtual time and gentle the limits they found too harsh

Requests were refused up to 778 ms after they came, when their claim was slow or their re-sends used up.

Change: bench flood, with fake targets, callers, a proxy as baseline and random faults. Limits fall by a twentieth and what is learned above the even share no longer weighs in the choice of a target, nor do small differences in latency. A request whose key is being claimed keeps its place in the queue; one without a place waits 8 ms for its claim. What provably did not run costs no budget.

--- a/core/include/core/target_choice.h
+++ b/core/include/core/target_choice.h
@@ -8,7 +8,7 @@
 struct target_candidate {
 	uint32_t index;
 	uint32_t in_flight;
-	uint32_t limit_milli;
+	uint32_t weight_milli;
 	uint32_t slowness_milli;
 };
 
--- a/core/include/core/target_limit.h
+++ b/core/include/core/target_limit.h
@@ -24,6 +24,7 @@
 		       uint32_t node_count);
 uint32_t target_limit_share_milli(const struct target_limit *limit);
 uint32_t target_limit_milli(const struct target_limit *limit);
+uint32_t target_limit_weight_milli(const struct target_limit *limit);
 uint32_t target_limit_in_flight_max(const struct target_limit *limit);
 void target_limit_answered(struct target_limit *limit, uint32_t latency_ms,
 			   uint32_t usual_ms, int64_t now_ms);
--- a/core/src/admission.c
+++ b/core/src/admission.c
@@ -101,7 +101,8 @@
 
 /*
  * Returns the part of the pool that a class can count on, in thousandths of a
- * request: its sure share, or what it had of late when that is more.
+ * request: its sure share, or what it had of late when that is more. Bulk may
+ * lose all but the former at any moment.
  */
 uint32_t admission_part_milli(struct admission *admission,
 			      enum work_class work_class,
@@ -112,6 +113,8 @@
 	uint32_t average =
 		usage_average_milli(&admission->by_class[work_class], now_ms);
 
+	if (work_class == CLASS_BULK)
+		return sure;
 	return sure > average ? sure : average;
 }
 
--- a/core/src/open_request.h
+++ b/core/src/open_request.h
@@ -19,6 +19,7 @@
 	enum work_class work_class;
 	uint64_t attempt_id;
 	uint32_t attempt_count;
+	enum reason obstacle;
 	bool may_have_run;
 	bool has_claim;
 	struct endpoint tried;
--- a/core/src/request_attempts.c
+++ b/core/src/request_attempts.c
@@ -1,7 +1,7 @@
 /* What the end of an attempt teaches, and what it means for its request. */
 #include "request_state.h"
 
-#define ATTEMPTS_MAX 8
+#define ATTEMPTS_MAX 16
 #define ABANDONED_MOST_MS 5000
 #define RETRY_ROOM_MS 2
 
@@ -107,7 +107,7 @@
 
 	if (outcome == ATTEMPT_WHOLE && !attempt->has_headers)
 		learn_answer(director, attempt, now_ms);
-	if (outcome == ATTEMPT_SHED)
+	if (!outcome_rules[outcome].may_have_run)
 		target_limit_shed(&attempt->track->limit,
 				  service ? request_service_usual_ms(service)
 					  : 0,
@@ -116,7 +116,11 @@
 		learn_failure(director, attempt, now_ms);
 }
 
-/* Whether a request whose attempt came to nothing may be sent once more. */
+/*
+ * Whether a request whose attempt came to nothing may be sent once more. What
+ * provably did not run costs no budget: the pause that its target gets and the
+ * limits pace it.
+ */
 static bool may_try_again(struct request_director *director,
 			  const struct open_request *request,
 			  const struct outcome_rule *rule, int64_t now_ms)
@@ -128,7 +132,7 @@
 	    now_ms + RETRY_ROOM_MS >= request->event.deadline_ms)
 		return false;
 	if (!rule->may_have_run)
-		return retry_budget_spend(&service->resends);
+		return true;
 	return request->event.is_repeatable &&
 	       retry_budget_spend(&service->retries);
 }
--- a/core/src/request_changes.c
+++ b/core/src/request_changes.c
@@ -77,6 +77,30 @@
 	g_ptr_array_free(waiting, TRUE);
 }
 
+/* Keeps places in the new pools for requests whose keys are being claimed. */
+static void move_claiming(struct request_director *director)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, director->requests);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct open_request *request = value;
+		struct request_service *service = request_catalog_service(
+			director->catalog, request->event.service_id);
+
+		if (request->state != REQUEST_CLAIMING ||
+		    request->obstacle != REASON_NONE)
+			continue;
+		if (!service) {
+			request->obstacle = REASON_NO_SERVICE;
+			continue;
+		}
+		request->work_class = service->rule->service.work_class;
+		service->pool->claiming_count[request->work_class]++;
+	}
+}
+
 /*
  * Puts new rules in force. Requests in progress go on; those that wait do so
  * under the new rules, or are refused when their service is gone.
@@ -86,6 +110,7 @@
 {
 	request_catalog_set_rules(director->catalog, rules, now_ms);
 	move_attempts(director, now_ms);
+	move_claiming(director);
 	move_waiting(director);
 	pump_all(director, now_ms);
 }
@@ -141,6 +166,8 @@
 
 	if (!request)
 		return;
+	if (request->state == REQUEST_CLAIMING)
+		request_director_end_claiming(director, request);
 	if (request->state == REQUEST_WAITING)
 		leave_queue(director, request);
 	if (request->state >= REQUEST_RUNNING) {
@@ -200,6 +227,7 @@
 	if (!request)
 		return;
 	if (request->state == REQUEST_CLAIMING) {
+		request_director_end_claiming(director, request);
 		request_director_refuse(director, request, REASON_KEY_UNKNOWN);
 	} else if (request->state == REQUEST_WAITING &&
 		   request->event.deadline_ms <= now_ms) {
--- a/core/src/request_director.c
+++ b/core/src/request_director.c
@@ -3,6 +3,7 @@
 #include <core/target_choice.h>
 
 #define CLAIM_TIMEOUT_MS 1000
+#define REFUSAL_TIMEOUT_MS 8
 #define RETRY_AFTER_BASE_MS 1000
 #define MICRO_PER_MILLI 1000
 #define QUEUE_LEAST 4
@@ -135,47 +136,82 @@
 	return (uint32_t)MAX(bound, QUEUE_LEAST);
 }
 
-/* Queues a request that may run, or refuses it at once. */
-static void enter(struct request_director *director,
-		  struct open_request *request, int64_t now_ms)
+/* Why a request cannot be taken in now, or REASON_NONE when it can. */
+static enum reason obstacle(struct request_director *director,
+			    struct open_request *request,
+			    struct request_service *service, int64_t now_ms)
 {
-	struct request_service *service = request_catalog_service(
-		director->catalog, request->event.service_id);
 	struct class_queue *queue;
 	uint32_t bound;
+	uint32_t claiming_count;
 
-	if (!service) {
-		request_director_refuse(director, request, REASON_NO_SERVICE);
-		return;
-	}
-	if (director->is_draining) {
-		request_director_refuse(director, request, REASON_DRAINING);
-		return;
-	}
-	if (now_ms >= request->event.deadline_ms) {
-		request_director_refuse(director, request, REASON_DEADLINE);
-		return;
-	}
-	request->work_class = service->rule->service.work_class;
+	if (!service)
+		return REASON_NO_SERVICE;
+	if (director->is_draining)
+		return REASON_DRAINING;
+	if (now_ms >= request->event.deadline_ms)
+		return REASON_DEADLINE;
 	queue = service->pool->queues[request->work_class];
+	claiming_count = service->pool->claiming_count[request->work_class];
 	bound = queue_bound(service, request, now_ms);
-	if (!class_queue_has_room(queue, request->event.caller_hash, bound,
-				  now_ms)) {
-		request_director_refuse(director, request,
-					class_queue_length(queue) < bound
-						? REASON_CALLER_SHARE
-						: REASON_QUEUE_FULL);
-		return;
-	}
+	bound -= MIN(bound, claiming_count);
+	if (class_queue_has_room(queue, request->event.caller_hash, bound,
+				 now_ms))
+		return REASON_NONE;
+	return class_queue_length(queue) < bound ? REASON_CALLER_SHARE
+						 : REASON_QUEUE_FULL;
+}
+
+/* Queues a request that has its place. */
+static void enter(struct request_director *director,
+		  struct open_request *request, struct request_service *service,
+		  int64_t now_ms)
+{
 	request->state = REQUEST_WAITING;
-	class_queue_push(queue, request->event.caller_hash,
-			 request->event.request_id);
+	class_queue_push(service->pool->queues[request->work_class],
+			 request->event.caller_hash, request->event.request_id);
 	deadline_heap_push(director->request_deadlines,
 			   request->event.deadline_ms,
 			   request->event.request_id);
 	request_director_pump(director, service->pool, NULL, now_ms);
 }
 
+/*
+ * Asks for the claim of a request's key. The request keeps a place in its
+ * queue meanwhile; one that finds no place asks all the same, for only with
+ * the claim can the refusal say "not run", but it does not wait long.
+ */
+static void claim(struct request_director *director,
+		  struct open_request *request, struct request_service *service,
+		  enum reason reason, int64_t now_ms)
+{
+	const struct request_effects *effects = &director->options.effects;
+	uint32_t timeout_ms =
+		reason == REASON_NONE ? CLAIM_TIMEOUT_MS : REFUSAL_TIMEOUT_MS;
+
+	request->state = REQUEST_CLAIMING;
+	request->obstacle = reason;
+	if (reason == REASON_NONE)
+		service->pool->claiming_count[request->work_class]++;
+	deadline_heap_push(director->request_deadlines,
+			   MIN(MAX(request->event.deadline_ms, now_ms),
+			       now_ms + timeout_ms),
+			   request->event.request_id);
+	effects->claim(effects->context, &request->event);
+}
+
+static struct open_request *add_request(struct request_director *director,
+					const struct request_event *event)
+{
+	struct open_request *request = g_new0(struct open_request, 1);
+
+	request->event = *event;
+	request->sequence = director->next_sequence++;
+	g_hash_table_insert(director->requests, &request->event.request_id,
+			    request);
+	return request;
+}
+
 /*
  * Takes a request that a caller sent. It is started, queued, claimed or
  * refused; the effects say which. An id that is open already is ignored.
@@ -183,30 +219,53 @@
 void request_director_arrive(struct request_director *director,
 			     const struct request_event *event, int64_t now_ms)
 {
-	const struct request_effects *effects = &director->options.effects;
+	struct request_service *service =
+		request_catalog_service(director->catalog, event->service_id);
 	struct open_request *request;
+	enum reason reason;
 
 	if (g_hash_table_contains(director->requests, &event->request_id))
 		return;
-	request = g_new0(struct open_request, 1);
-	request->event = *event;
-	request->sequence = director->next_sequence++;
-	g_hash_table_insert(director->requests, &request->event.request_id,
-			    request);
+	request = add_request(director, event);
+	if (service)
+		request->work_class = service->rule->service.work_class;
 	if (g_hash_table_size(director->requests) >
 	    director->options.request_limit) {
 		request_director_refuse(director, request, REASON_NODE_LIMIT);
 		return;
 	}
-	if (!needs_claim(event)) {
-		enter(director, request, now_ms);
-		return;
+	reason = obstacle(director, request, service, now_ms);
+	if (needs_claim(event))
+		claim(director, request, service, reason, now_ms);
+	else if (reason == REASON_NONE)
+		enter(director, request, service, now_ms);
+	else
+		request_director_refuse(director, request, reason);
+}
+
+/* Takes a claimed request's place in its queue out of the count. */
+void request_director_end_claiming(struct request_director *director,
+				   const struct open_request *request)
+{
+	struct request_service *service = request_catalog_service(
+		director->catalog, request->event.service_id);
+
+	if (service && request->obstacle == REASON_NONE)
+		service->pool->claiming_count[request->work_class]--;
+}
+
+static enum reason reason_of_claim(enum claim_result result,
+				   enum reason obstacle)
+{
+	switch (result) {
+	case CLAIM_GRANTED:
+		return obstacle;
+	case CLAIM_TAKEN:
+		return REASON_KEY_CLAIMED;
+	case CLAIM_UNKNOWN:
+		break;
 	}
-	request->state = REQUEST_CLAIMING;
-	deadline_heap_push(director->request_deadlines,
-			   MIN(event->deadline_ms, now_ms + CLAIM_TIMEOUT_MS),
-			   event->request_id);
-	effects->claim(effects->context, event);
+	return REASON_KEY_UNKNOWN;
 }
 
 /*
@@ -219,15 +278,22 @@
 {
 	struct open_request *request =
 		g_hash_table_lookup(director->requests, &request_id);
+	struct request_service *service;
+	enum reason reason;
 
 	if (!request || request->state != REQUEST_CLAIMING)
 		return;
-	if (result == CLAIM_GRANTED) {
-		request->has_claim = true;
-		enter(director, request, now_ms);
-		return;
-	}
-	request_director_refuse(director, request,
-				result == CLAIM_TAKEN ? REASON_KEY_CLAIMED
-						      : REASON_KEY_UNKNOWN);
+	request_director_end_claiming(director, request);
+	service = request_catalog_service(director->catalog,
+					  request->event.service_id);
+	request->has_claim = result == CLAIM_GRANTED;
+	reason = reason_of_claim(result, request->obstacle);
+	if (reason == REASON_NONE && !service)
+		reason = REASON_NO_SERVICE;
+	if (reason == REASON_NONE && now_ms >= request->event.deadline_ms)
+		reason = REASON_DEADLINE;
+	if (reason == REASON_NONE)
+		enter(director, request, service, now_ms);
+	else
+		request_director_refuse(director, request, reason);
 }
--- a/core/src/request_dispatch.c
+++ b/core/src/request_dispatch.c
@@ -68,7 +68,7 @@
 	struct target_candidate candidate = {
 		.index = index,
 		.in_flight = track->limit.in_flight,
-		.limit_milli = target_limit_milli(&track->limit),
+		.weight_milli = target_limit_weight_milli(&track->limit),
 		.slowness_milli = track->limit.slowness_milli,
 	};
 
@@ -208,10 +208,8 @@
 	attempt->track->limit.in_flight++;
 	admission_changed(&service->pool->admission, request->work_class, 1,
 			  now_ms);
-	if (request->attempt_count == 0) {
+	if (request->attempt_count == 0)
 		retry_budget_earn(&service->retries);
-		retry_budget_earn(&service->resends);
-	}
 	request->state = REQUEST_RUNNING;
 	request->attempt_id = attempt->attempt_id;
 	request->attempt_count++;
--- a/core/src/request_pool.h
+++ b/core/src/request_pool.h
@@ -20,6 +20,8 @@
 	struct class_queue *queues[CLASS_COUNT];
 	struct admission admission;
 	GArray *members;
+	/* Places kept for requests whose keys are being claimed. */
+	uint32_t claiming_count[CLASS_COUNT];
 	int64_t retry_ms;
 };
 
--- a/core/src/request_service.c
+++ b/core/src/request_service.c
@@ -5,12 +5,10 @@
 #define USUAL_WEIGHT 32
 #define RETRY_GAIN_MILLI 100
 #define RETRY_LIMIT_MILLI 10000
-#define RESEND_GAIN_MILLI 1000
-#define RESEND_LIMIT_MILLI 100000
 
 /*
  * Makes a service without targets. A retry after an attempt that may have run
- * costs ten first attempts; sending again what provably did not run costs one.
+ * costs ten first attempts.
  */
 struct request_service *request_service_new(const struct rule *rule)
 {
@@ -22,8 +20,6 @@
 	service->usual_micro = USUAL_FIRST_MS * MICRO_PER_MS;
 	retry_budget_init(&service->retries, RETRY_GAIN_MILLI,
 			  RETRY_LIMIT_MILLI);
-	retry_budget_init(&service->resends, RESEND_GAIN_MILLI,
-			  RESEND_LIMIT_MILLI);
 	return service;
 }
 
@@ -43,7 +39,6 @@
 {
 	service->usual_micro = former->usual_micro;
 	service->retries = former->retries;
-	service->resends = former->resends;
 }
 
 /* Learns how long the service's requests usually take. */
--- a/core/src/request_service.h
+++ b/core/src/request_service.h
@@ -16,7 +16,6 @@
 	enum target_state *states;
 	uint32_t usual_micro;
 	struct retry_budget retries;
-	struct retry_budget resends;
 };
 
 struct request_service *request_service_new(const struct rule *rule);
--- a/core/src/request_state.h
+++ b/core/src/request_state.h
@@ -24,6 +24,8 @@
 
 void request_director_refuse(struct request_director *director,
 			     struct open_request *request, enum reason reason);
+void request_director_end_claiming(struct request_director *director,
+				   const struct open_request *request);
 void request_director_pump(struct request_director *director,
 			   struct request_pool *pool,
 			   const struct target_track *freed, int64_t now_ms);
--- a/core/src/target_choice.c
+++ b/core/src/target_choice.c
@@ -1,11 +1,16 @@
 #include <core/target_choice.h>
 
+/* Below this, differences in latency are taken for chance. */
+#define SLOWNESS_NOISE_MILLI 1700
+
 static uint64_t load(const struct target_candidate *candidate)
 {
-	uint32_t limit_milli = MAX(candidate->limit_milli, 1);
+	uint32_t weight_milli = MAX(candidate->weight_milli, 1);
+	uint32_t slowness_milli =
+		MAX(candidate->slowness_milli, SLOWNESS_NOISE_MILLI);
 
-	return ((uint64_t)candidate->in_flight + 1) * 1000 *
-	       candidate->slowness_milli / limit_milli;
+	return ((uint64_t)candidate->in_flight + 1) * 1000 * slowness_milli /
+	       weight_milli;
 }
 
 static uint32_t find(const struct target_candidate *candidates,
--- a/core/src/target_limit.c
+++ b/core/src/target_limit.c
@@ -3,13 +3,14 @@
 #define UNIT_MILLI 1000
 #define FACTOR_FIRST_MILLI 1500
 #define FACTOR_LEAST_MILLI 500
-#define FACTOR_MOST_MILLI 2000
-#define FACTOR_RAISE_MILLI 20
-#define LOWERED_PERCENT 90
+#define FACTOR_MOST_MILLI 2500
+#define FACTOR_RAISE_MILLI 30
+#define LOWERED_PERCENT 95
 #define SLOW_MILLI 1800
 #define SLOWNESS_MOST_MILLI 20000
 #define SLOWNESS_WEIGHT 8
 #define LOWER_PAUSE_MS 50
+#define BUSY_LEAST_MS 3
 
 /*
  * Starts above the even share: requests on their way and uneven arrivals
@@ -41,6 +42,19 @@
 			  limit->factor_milli / UNIT_MILLI);
 }
 
+/*
+ * Returns the weight of the target among its peers: its even share, and less
+ * when it was learned that it bears less. What was learned beyond the share
+ * does not count, or early luck would decide who gets the work.
+ */
+uint32_t target_limit_weight_milli(const struct target_limit *limit)
+{
+	uint32_t share_milli = target_limit_share_milli(limit);
+	uint32_t limit_milli = target_limit_milli(limit);
+
+	return limit_milli < share_milli ? limit_milli : share_milli;
+}
+
 /* Returns the most requests that may be at the target at one moment. */
 uint32_t target_limit_in_flight_max(const struct target_limit *limit)
 {
@@ -95,7 +109,11 @@
 void target_limit_shed(struct target_limit *limit, uint32_t usual_ms,
 		       int64_t now_ms)
 {
-	limit->busy_until_ms = now_ms + usual_ms / 2 + 1;
+	uint32_t pause_ms = usual_ms / 2;
+
+	if (pause_ms < BUSY_LEAST_MS)
+		pause_ms = BUSY_LEAST_MS;
+	limit->busy_until_ms = now_ms + pause_ms;
 	lower(limit, now_ms);
 }
 
--- a/ctl/include/ctl/bench.h
+++ b/ctl/include/ctl/bench.h
@@ -11,5 +11,6 @@
 };
 
 extern const struct bench bench_decide;
+extern const struct bench bench_flood;
 
 #endif
--- a/ctl/src/bench_command.c
+++ b/ctl/src/bench_command.c
@@ -6,6 +6,7 @@
 
 static const struct bench *const benches[] = {
 	&bench_decide,
+	&bench_flood,
 };
 
 #define BENCH_COUNT (sizeof(benches) / sizeof(benches[0]))
--- /dev/null
+++ b/ctl/src/flood_fleet.c
@@ -0,0 +1,442 @@
+#include "flood_state.h"
+
+#define OUTSIDE FLOOD_NODES_MAX
+#define HOP_MS 1
+#define CLAIMS_TICK_MS 25
+#define QUEUE_LIMIT 512
+#define REQUEST_LIMIT 4096
+#define CLAIM_LIFETIME_MS 10000
+#define CLAIM_LEASE_MS 2000
+#define BACKLOG_PER_SLOT 1
+#define PROXY_QUEUE_LIMIT 1000
+#define NOTICE_MS 2000
+#define AFTER_MS 12000
+
+static void deliver(void *context, uint32_t from, uint32_t to, void *message)
+{
+	struct flood_fleet *fleet = context;
+	struct flood_node *node = &fleet->nodes[to];
+	struct flood_event *event = message;
+
+	if (!node->is_dead && event->to_node_id == node->node_id) {
+		if (event->kind == FLOOD_EVENT_ENDED)
+			flood_front_ended(node, event->id, event->outcome);
+		flood_node_handle(node, event, driver_now_ms(fleet->driver));
+	}
+	flood_event_free(event);
+}
+
+/* Returns a node's place, or FLOOD_NODES_MAX when it is gone. */
+uint32_t flood_fleet_instance(const struct flood_fleet *fleet, uint64_t node_id)
+{
+	for (uint32_t i = 0; i < fleet->options.node_count; i++) {
+		if (fleet->nodes[i].node_id == node_id &&
+		    !fleet->nodes[i].is_dead)
+			return i;
+	}
+	return FLOOD_NODES_MAX;
+}
+
+/* Sends an event from outside to its node; it is lost when that is gone. */
+void flood_fleet_send(struct flood_fleet *fleet, struct flood_event *event)
+{
+	uint32_t to = flood_fleet_instance(fleet, event->to_node_id);
+
+	if (to == FLOOD_NODES_MAX)
+		flood_event_free(event);
+	else
+		driver_send(fleet->driver, OUTSIDE, to, event);
+}
+
+static void on_claims_send(void *context, uint64_t to_node_id,
+			   const struct claim_message *message)
+{
+	struct flood_node *node = context;
+	struct flood_fleet *fleet = node->fleet;
+	uint32_t to = flood_fleet_instance(fleet, to_node_id);
+	struct flood_event *event;
+
+	if (to == FLOOD_NODES_MAX)
+		return;
+	event = flood_event_new(FLOOD_EVENT_CLAIMS, to_node_id);
+	event->from_node_id = node->node_id;
+	event->message = g_memdup2(message, sizeof(*message));
+	driver_send(fleet->driver, node->index, to, event);
+}
+
+static void count_result(struct flood_tally *tally, enum claim_result result)
+{
+	switch (result) {
+	case CLAIM_GRANTED:
+		tally->claims_granted++;
+		break;
+	case CLAIM_TAKEN:
+		tally->claims_taken++;
+		break;
+	case CLAIM_UNKNOWN:
+		tally->claims_unknown++;
+		break;
+	}
+}
+
+static void on_claims_answer(void *context, uint64_t request_id,
+			     enum claim_result result)
+{
+	struct flood_node *node = context;
+	struct flood_event *event =
+		flood_event_new(FLOOD_EVENT_CLAIMED, node->node_id);
+
+	count_result(&node->fleet->tally, result);
+	event->id = request_id;
+	event->result = result;
+	driver_send(node->fleet->driver, node->index, node->index, event);
+}
+
+static void start_directors(struct flood_fleet *fleet, struct flood_node *node)
+{
+	struct request_director_options requests = {
+		.seed = fleet->options.seed * FLOOD_NODES_MAX + node->index,
+		.request_limit = REQUEST_LIMIT,
+		.queue_limit = QUEUE_LIMIT,
+		.node_count = fleet->options.node_count,
+		.effects = flood_front_effects(node),
+	};
+	struct claim_director_options claims = {
+		.node_id = node->node_id,
+		.capacity = UINT16_MAX,
+		.round_limit = 1024,
+		.lifetime_ms = CLAIM_LIFETIME_MS,
+		.lease_ms = CLAIM_LEASE_MS,
+		.effects = {node, on_claims_send, on_claims_answer},
+	};
+
+	node->requests = request_director_new(&requests);
+	node->claims = claim_director_new(&claims);
+	request_director_set_rules(node->requests, fleet->rules,
+				   driver_now_ms(fleet->driver));
+}
+
+static void start_proxy(struct flood_fleet *fleet, struct flood_node *node)
+{
+	struct flood_proxy_options options = {
+		.rules = fleet->rules,
+		.queue_limit = PROXY_QUEUE_LIMIT,
+		.target_limit =
+			fleet->options.policy == FLOOD_POLICY_RETRY_ALWAYS
+				? fleet->options.slot_count
+				: 1,
+		.is_retrying =
+			fleet->options.policy == FLOOD_POLICY_RETRY_ALWAYS,
+		.effects = flood_front_effects(node),
+	};
+
+	node->proxy = flood_proxy_new(&options);
+}
+
+/* Starts a node in a place; it has an id that no node had before. */
+void flood_fleet_start_node(struct flood_fleet *fleet, uint32_t index)
+{
+	struct flood_node *node = &fleet->nodes[index];
+
+	*node = (struct flood_node){
+		.fleet = fleet,
+		.index = index,
+		.node_id = ++fleet->next_node_id * 7919,
+		.zone_id = 1 + index % fleet->options.zone_count,
+		.live = g_hash_table_new(g_int64_hash, g_int64_equal),
+	};
+	if (fleet->options.policy == FLOOD_POLICY_DIRECTOR ||
+	    fleet->options.policy == FLOOD_POLICY_NO_CLASSES)
+		start_directors(fleet, node);
+	else
+		start_proxy(fleet, node);
+}
+
+/* Stops a node at once, as a crash does. */
+void flood_fleet_stop_node(struct flood_fleet *fleet, uint32_t index)
+{
+	struct flood_node *node = &fleet->nodes[index];
+
+	node->is_dead = true;
+	flood_callers_node_died(fleet, node->node_id);
+	flood_front_forget(node);
+	g_hash_table_destroy(node->live);
+	node->live = NULL;
+	flood_node_clear(node);
+}
+
+/* Publishes the live nodes as the next roster; nodes hear it one by one. */
+void flood_fleet_publish_roster(struct flood_fleet *fleet)
+{
+	struct roster_member members[FLOOD_NODES_MAX];
+	uint32_t member_count = 0;
+
+	for (uint32_t i = 0; i < fleet->options.node_count; i++) {
+		if (!fleet->nodes[i].is_dead)
+			members[member_count++] =
+				(struct roster_member){fleet->nodes[i].node_id,
+						       fleet->nodes[i].zone_id};
+	}
+	if (!roster_next(&fleet->roster,
+			 fleet->roster.epoch ? &fleet->roster : NULL, members,
+			 member_count))
+		return;
+	for (uint32_t i = 0; i < member_count; i++) {
+		struct flood_event *event =
+			flood_event_new(FLOOD_EVENT_ROSTER, members[i].node_id);
+
+		event->roster =
+			g_memdup2(&fleet->roster, sizeof(fleet->roster));
+		flood_fleet_send(fleet, event);
+	}
+}
+
+/* Tells the nodes how many of them there are. */
+void flood_fleet_tell_node_count(struct flood_fleet *fleet)
+{
+	uint32_t live_count = 0;
+
+	for (uint32_t i = 0; i < fleet->options.node_count; i++)
+		live_count += fleet->nodes[i].is_dead ? 0 : 1;
+	for (uint32_t i = 0; i < fleet->options.node_count; i++) {
+		struct flood_event *event = flood_event_new(
+			FLOOD_EVENT_NODE_COUNT, fleet->nodes[i].node_id);
+
+		event->node_count = live_count;
+		flood_fleet_send(fleet, event);
+	}
+}
+
+/* Tells the nodes of a target's state, for each service that it serves. */
+void flood_fleet_tell_target(struct flood_fleet *fleet, uint32_t target,
+			     enum target_state state)
+{
+	for (uint32_t i = 0; i < fleet->options.node_count; i++) {
+		for (uint32_t j = 0; j < rule_set_count(fleet->rules); j++) {
+			const struct rule *rule = rule_set_at(fleet->rules, j);
+			struct flood_event *event =
+				flood_event_new(FLOOD_EVENT_TARGET_STATE,
+						fleet->nodes[i].node_id);
+
+			event->id = rule->targets[target].target_id;
+			event->state = state;
+			flood_fleet_send(fleet, event);
+		}
+	}
+}
+
+static struct rule_set *make_rules(const struct flood_options *options)
+{
+	struct rule_set *rules = rule_set_new(1);
+
+	for (int i = 0; i < CLASS_COUNT; i++) {
+		const char *name = work_class_name((enum work_class)i);
+		GString *line = g_string_new(NULL);
+
+		g_string_printf(line,
+				"%s address=10.0.0.1:%d protocol=http "
+				"class=%s pool=",
+				name, 80 + i,
+				options->policy == FLOOD_POLICY_NO_CLASSES
+					? "normal"
+					: name);
+		for (uint32_t j = 0; j < options->target_count; j++)
+			g_string_append_printf(line, "%s10.1.0.%u:80*%u",
+					       j ? "," : "", j + 1,
+					       options->slot_count);
+		g_string_append(line, " # asked by the bench");
+		rule_set_add(rules, rule_parse(line->str, NULL));
+		g_string_free(line, TRUE);
+	}
+	return rules;
+}
+
+static void free_try(gpointer trial)
+{
+	flood_try_unref(trial);
+}
+
+static void free_job(gpointer job)
+{
+	g_free(job);
+}
+
+static void start_targets(struct flood_fleet *fleet)
+{
+	const struct flood_options *options = &fleet->options;
+
+	for (uint32_t i = 0; i < options->target_count; i++) {
+		fleet->targets[i].slot_count = options->slot_count;
+		fleet->targets[i].backlog_limit =
+			options->slot_count * BACKLOG_PER_SLOT;
+		fleet->targets[i].ignores_cancel = i % 2 == 0;
+		flood_front_prepare_target(fleet, i);
+	}
+}
+
+/*
+ * Makes a fleet of virtual nodes, targets and callers; the caller frees it
+ * with flood_fleet_free.
+ */
+struct flood_fleet *flood_fleet_new(const struct flood_options *options)
+{
+	struct flood_fleet *fleet = g_new0(struct flood_fleet, 1);
+	struct driver_options driver_options = {
+		.instance_count = FLOOD_NODES_MAX + 1,
+		.seed = options->seed,
+		.link = {.delay_ms = HOP_MS, .jitter_ms = 0},
+		.context = fleet,
+		.deliver = deliver,
+		.discard = flood_event_free,
+		.duplicate = flood_event_copy,
+	};
+
+	fleet->options = *options;
+	fleet->driver = driver_new(&driver_options);
+	fleet->rules = make_rules(options);
+	fleet->tries = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					     free_try);
+	fleet->jobs = g_hash_table_new_full(g_direct_hash, g_direct_equal,
+					    free_job, NULL);
+	start_targets(fleet);
+	for (uint32_t i = 0; i < options->node_count; i++)
+		flood_fleet_start_node(fleet, i);
+	flood_fleet_publish_roster(fleet);
+	return fleet;
+}
+
+static void free_jobs(struct flood_fleet *fleet)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, fleet->jobs);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		flood_try_unref(((struct flood_job *)key)->trial);
+	g_hash_table_destroy(fleet->jobs);
+}
+
+/* Frees the fleet; NULL is allowed. */
+void flood_fleet_free(struct flood_fleet *fleet)
+{
+	if (!fleet)
+		return;
+	for (uint32_t i = 0; i < fleet->options.node_count; i++) {
+		if (fleet->nodes[i].live)
+			g_hash_table_destroy(fleet->nodes[i].live);
+		flood_node_clear(&fleet->nodes[i]);
+	}
+	for (uint32_t i = 0; i < fleet->options.target_count; i++)
+		flood_target_clear(&fleet->targets[i]);
+	driver_free(fleet->driver);
+	free_jobs(fleet);
+	g_hash_table_destroy(fleet->tries);
+	rule_set_free(fleet->rules);
+	g_free(fleet);
+}
+
+static void tick_nodes(struct flood_fleet *fleet, int64_t now_ms)
+{
+	for (uint32_t i = 0; i < fleet->options.node_count; i++) {
+		struct flood_node *node = &fleet->nodes[i];
+
+		if (node->is_dead || node->is_paused)
+			continue;
+		if (node->next_ms <= now_ms || now_ms % CLAIMS_TICK_MS == 0)
+			flood_node_tick(node, now_ms);
+	}
+}
+
+/* A node dies in the middle of the flood, and a target drains. */
+static void planned_events(struct flood_fleet *fleet, int64_t now_ms)
+{
+	int64_t middle_ms =
+		(fleet->options.flood_start_ms + fleet->options.end_ms) / 2;
+
+	if (!fleet->options.has_planned_events)
+		return;
+	if (now_ms == middle_ms)
+		flood_fleet_stop_node(fleet, 0);
+	if (now_ms == middle_ms + NOTICE_MS) {
+		flood_fleet_tell_node_count(fleet);
+		flood_fleet_publish_roster(fleet);
+		flood_fleet_tell_target(fleet, 0, TARGET_LEAVING);
+	}
+}
+
+/*
+ * One target's health is reported wrongly time and again; the last is cold
+ * when the flood begins.
+ */
+static void liars(struct flood_fleet *fleet, int64_t now_ms)
+{
+	uint32_t last = fleet->options.target_count - 1;
+
+	if (!fleet->options.has_liars)
+		return;
+	if (now_ms % 2000 == 0)
+		flood_fleet_tell_target(fleet, 1, TARGET_FAILING);
+	if (now_ms % 2000 == 1000)
+		flood_fleet_tell_target(fleet, 1, TARGET_SERVING);
+	if (now_ms == fleet->options.flood_start_ms) {
+		fleet->targets[last].cold_jobs_left = 30;
+		flood_fleet_tell_target(fleet, last, TARGET_COLD);
+	}
+}
+
+static void measure_targets(struct flood_fleet *fleet, bool is_start)
+{
+	for (uint32_t i = 0; i < fleet->options.target_count; i++) {
+		uint64_t busy_ms = fleet->targets[i].busy_ms;
+
+		if (is_start)
+			fleet->tally.target_busy_ms[i] = busy_ms;
+		else
+			fleet->tally.target_busy_ms[i] =
+				busy_ms - fleet->tally.target_busy_ms[i];
+	}
+}
+
+static void measure_capacity(struct flood_fleet *fleet, int64_t now_ms)
+{
+	int64_t middle_ms =
+		(fleet->options.flood_start_ms + fleet->options.end_ms) / 2;
+	bool has_left = fleet->options.has_planned_events &&
+			now_ms >= middle_ms + NOTICE_MS;
+
+	if (now_ms >= fleet->options.flood_start_ms)
+		fleet->tally.capacity_work_ms +=
+			(fleet->options.target_count - (has_left ? 1 : 0)) *
+			fleet->options.slot_count;
+}
+
+/* Runs the fleet to its end, a millisecond at a time. */
+void flood_fleet_run(struct flood_fleet *fleet)
+{
+	int64_t now_ms;
+
+	for (now_ms = 1; now_ms <= fleet->options.end_ms; now_ms++) {
+		driver_run_until(fleet->driver, now_ms);
+		if (now_ms == fleet->options.flood_start_ms)
+			measure_targets(fleet, true);
+		planned_events(fleet, now_ms);
+		liars(fleet, now_ms);
+		if (fleet->options.has_chaos)
+			flood_chaos_beat(fleet, now_ms);
+		measure_capacity(fleet, now_ms);
+		flood_callers_beat(fleet, now_ms);
+		tick_nodes(fleet, now_ms);
+	}
+	measure_targets(fleet, false);
+	/* What is under way comes to its end, and is still watched. */
+	for (; now_ms <= fleet->options.end_ms + AFTER_MS; now_ms++) {
+		driver_run_until(fleet->driver, now_ms);
+		tick_nodes(fleet, now_ms);
+	}
+}
+
+/* Returns what the run counted; valid while the fleet is. */
+const struct flood_tally *flood_fleet_tally(const struct flood_fleet *fleet)
+{
+	return &fleet->tally;
+}
--- /dev/null
+++ b/ctl/src/flood_fleet.h
@@ -0,0 +1,52 @@
+#ifndef CTL_FLOOD_FLEET_H
+#define CTL_FLOOD_FLEET_H
+
+#include "flood_tally.h"
+#include "flood_target.h"
+#include <core/request_director.h>
+#include <core/roster.h>
+
+#define FLOOD_NODES_MAX 9
+#define FLOOD_TARGETS_MAX 16
+#define FLOOD_CALLER_COUNT 20
+
+/* Which decisions the nodes of a run make. */
+enum flood_policy {
+	FLOOD_POLICY_DIRECTOR,
+	FLOOD_POLICY_NO_CLASSES,
+	FLOOD_POLICY_STATIC_LIMITS,
+	FLOOD_POLICY_RETRY_ALWAYS,
+};
+
+/* Offered load of each class, in thousandths of the pool's capacity. */
+struct flood_load {
+	uint32_t milli[CLASS_COUNT];
+};
+
+/* One run: the fleet, its load before and in the flood, and its faults. */
+struct flood_options {
+	enum flood_policy policy;
+	uint64_t seed;
+	uint32_t node_count;
+	uint32_t target_count;
+	uint32_t slot_count;
+	uint32_t zone_count;
+	struct flood_load calm;
+	struct flood_load flood;
+	int64_t flood_start_ms;
+	int64_t end_ms;
+	/* One node dies and one target drains in the middle of the flood. */
+	bool has_planned_events;
+	bool has_liars;
+	/* Random faults of nodes, links, targets and callers. */
+	bool has_chaos;
+};
+
+struct flood_fleet;
+
+struct flood_fleet *flood_fleet_new(const struct flood_options *options);
+void flood_fleet_free(struct flood_fleet *fleet);
+void flood_fleet_run(struct flood_fleet *fleet);
+const struct flood_tally *flood_fleet_tally(const struct flood_fleet *fleet);
+
+#endif
--- /dev/null
+++ b/ctl/src/flood_front.c
@@ -0,0 +1,222 @@
+/* The front end of the flood bench: attempts travel to targets and back. */
+#include "flood_state.h"
+
+#define HOP_MS 1
+
+/* A job that was sent and reaches its target a hop later. */
+static void reach_target(void *context)
+{
+	struct flood_job *job = context;
+
+	flood_target_take(job->target, job);
+}
+
+/* A job belongs to its target and, while the attempt is live, to its node. */
+static void unref_job(struct flood_fleet *fleet, struct flood_job *job)
+{
+	struct flood_try *trial = job->trial;
+
+	if (--job->refs > 0)
+		return;
+	g_hash_table_remove(fleet->jobs, job);
+	flood_try_unref(trial);
+}
+
+static struct flood_target *target_at(struct flood_fleet *fleet,
+				      const struct endpoint *endpoint)
+{
+	/* Target n listens on 10.1.0.n. */
+	return &fleet->targets[endpoint->addr.bytes[3] - 1];
+}
+
+static void on_start(void *context, uint64_t request_id, uint64_t attempt_id,
+		     const struct placement *placement, int64_t deadline_ms)
+{
+	struct flood_node *node = context;
+	struct flood_fleet *fleet = node->fleet;
+	struct flood_try *trial =
+		g_hash_table_lookup(fleet->tries, &request_id);
+	struct flood_job *job = g_new0(struct flood_job, 1);
+
+	job->attempt_id = attempt_id;
+	job->node_id = node->node_id;
+	job->trial = flood_try_ref(trial);
+	job->target = target_at(fleet, &placement->endpoint);
+	job->work_ms = trial->work->work_ms;
+	job->refs = 2;
+	g_hash_table_add(fleet->jobs, job);
+	g_hash_table_insert(node->live, &job->attempt_id, job);
+	fleet->tally.attempts++;
+	driver_after(fleet->driver, HOP_MS, job, reach_target);
+}
+
+static void on_cancel(void *context, uint64_t attempt_id)
+{
+	struct flood_node *node = context;
+	struct flood_job *job = g_hash_table_lookup(node->live, &attempt_id);
+
+	if (!job)
+		return;
+	job->is_cancelled = true;
+	g_hash_table_remove(node->live, &attempt_id);
+	unref_job(node->fleet, job);
+}
+
+static struct flood_try *close_try(struct flood_node *node, uint64_t request_id)
+{
+	struct flood_try *trial =
+		g_hash_table_lookup(node->fleet->tries, &request_id);
+
+	if (!trial || !trial->is_open)
+		return NULL;
+	trial->is_open = false;
+	return trial;
+}
+
+static void on_refuse(void *context, uint64_t request_id,
+		      const struct refusal *refusal)
+{
+	struct flood_node *node = context;
+	struct flood_try *trial = close_try(node, request_id);
+
+	if (trial)
+		flood_callers_refuse(node->fleet, trial, refusal->kind);
+}
+
+static void on_fail(void *context, uint64_t request_id, enum reason reason)
+{
+	struct flood_node *node = context;
+	struct flood_try *trial = close_try(node, request_id);
+
+	if (trial)
+		flood_callers_cut(node->fleet, trial);
+}
+
+static void on_claim(void *context, const struct request_event *event)
+{
+	struct flood_node *node = context;
+
+	node->fleet->tally.claims_asked++;
+	claim_director_claim(node->claims, event->request_id,
+			     event->idempotency_print,
+			     driver_now_ms(node->fleet->driver));
+}
+
+static void on_release(void *context, const struct request_event *event)
+{
+	struct flood_node *node = context;
+
+	claim_director_release(node->claims, event->request_id,
+			       event->idempotency_print,
+			       driver_now_ms(node->fleet->driver));
+}
+
+static void on_settle(void *context, const struct request_event *event)
+{
+}
+
+static void on_log(void *context, uint64_t request_id, uint64_t attempt_id,
+		   const struct placement *placement)
+{
+}
+
+/* Returns the effects of a node's director: what its front end would do. */
+struct request_effects flood_front_effects(struct flood_node *node)
+{
+	return (struct request_effects){
+		.context = node,
+		.start = on_start,
+		.cancel = on_cancel,
+		.refuse = on_refuse,
+		.fail = on_fail,
+		.claim = on_claim,
+		.release = on_release,
+		.settle = on_settle,
+		.log = on_log,
+	};
+}
+
+/* Only one execution of what may not be repeated, and none after "not run". */
+static void on_ran(void *context, struct flood_job *job)
+{
+	struct flood_fleet *fleet = context;
+	struct flood_work *work = job->trial->work;
+
+	work->ran_count++;
+	job->trial->ran_count++;
+	if (!work->is_repeatable && work->ran_count > 1)
+		fleet->tally.doubled++;
+	if (job->trial->was_told_not_run)
+		fleet->tally.wrong_not_run++;
+}
+
+/*
+ * Takes the end of an attempt at its node. The whole answer of a live attempt
+ * goes to the caller of its request; that of a cancelled one to nobody.
+ */
+void flood_front_ended(struct flood_node *node, uint64_t attempt_id,
+		       enum attempt_outcome outcome)
+{
+	struct flood_job *job = g_hash_table_lookup(node->live, &attempt_id);
+
+	if (!job)
+		return;
+	g_hash_table_remove(node->live, &attempt_id);
+	if (outcome == ATTEMPT_WHOLE && job->trial->is_open) {
+		job->trial->is_open = false;
+		flood_callers_answer(node->fleet, job->trial);
+	}
+	unref_job(node->fleet, job);
+}
+
+/* Forgets the live attempts of a node that dies; its targets work on. */
+void flood_front_forget(struct flood_node *node)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, node->live);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		g_hash_table_iter_remove(&iter);
+		unref_job(node->fleet, value);
+	}
+}
+
+static void on_answer(void *context, struct flood_job *job,
+		      enum attempt_outcome outcome)
+{
+	struct flood_fleet *fleet = context;
+	struct flood_event *event;
+
+	if (outcome == ATTEMPT_SHED)
+		fleet->tally.sheds++;
+	if (outcome == ATTEMPT_TRUNCATED) {
+		event = flood_event_new(FLOOD_EVENT_HEADERS, job->node_id);
+		event->id = job->attempt_id;
+		flood_fleet_send(fleet, event);
+	}
+	event = flood_event_new(FLOOD_EVENT_ENDED, job->node_id);
+	event->id = job->attempt_id;
+	event->outcome = outcome;
+	flood_fleet_send(fleet, event);
+	unref_job(fleet, job);
+}
+
+static void on_lose(void *context, struct flood_job *job)
+{
+	unref_job(context, job);
+}
+
+/* Makes a target report to this front end. */
+void flood_front_prepare_target(struct flood_fleet *fleet, uint32_t index)
+{
+	struct flood_target *target = &fleet->targets[index];
+
+	target->driver = fleet->driver;
+	target->index = index;
+	target->context = fleet;
+	target->ran = on_ran;
+	target->answer = on_answer;
+	target->lose = on_lose;
+	g_queue_init(&target->backlog);
+}
--- /dev/null
+++ b/ctl/src/flood_node.c
@@ -0,0 +1,119 @@
+#include "flood_node.h"
+
+/* Makes an event for a node; flood_event_free frees it. */
+struct flood_event *flood_event_new(enum flood_event_kind kind,
+				    uint64_t to_node_id)
+{
+	struct flood_event *event = g_new0(struct flood_event, 1);
+
+	event->kind = kind;
+	event->to_node_id = to_node_id;
+	return event;
+}
+
+/* Frees an event and what it carries. */
+void flood_event_free(void *data)
+{
+	struct flood_event *event = data;
+
+	g_free(event->message);
+	g_free(event->roster);
+	g_free(event);
+}
+
+/* Copies an event, for a link that doubles messages. */
+void *flood_event_copy(const void *data)
+{
+	const struct flood_event *event = data;
+	struct flood_event *copy = g_memdup2(event, sizeof(*event));
+
+	copy->message = g_memdup2(event->message, sizeof(*event->message));
+	copy->roster = g_memdup2(event->roster, sizeof(*event->roster));
+	return copy;
+}
+
+static void handle_claims(struct flood_node *node,
+			  const struct flood_event *event, int64_t now_ms)
+{
+	if (event->kind == FLOOD_EVENT_CLAIMS)
+		claim_director_message(node->claims, event->from_node_id,
+				       event->message, now_ms);
+	else if (event->kind == FLOOD_EVENT_ROSTER)
+		claim_director_set_roster(node->claims, event->roster, now_ms);
+}
+
+static void handle_requests(struct flood_node *node,
+			    const struct flood_event *event, int64_t now_ms)
+{
+	struct request_director *requests = node->requests;
+
+	switch (event->kind) {
+	case FLOOD_EVENT_ARRIVE:
+		request_director_arrive(requests, &event->request, now_ms);
+		break;
+	case FLOOD_EVENT_CALLER_GONE:
+		request_director_caller_gone(requests, event->id, now_ms);
+		break;
+	case FLOOD_EVENT_HEADERS:
+		request_director_headers(requests, event->id, now_ms);
+		break;
+	case FLOOD_EVENT_ENDED:
+		request_director_ended(requests, event->id, event->outcome,
+				       now_ms);
+		break;
+	case FLOOD_EVENT_CLAIMED:
+		request_director_claimed(requests, event->id, event->result,
+					 now_ms);
+		break;
+	case FLOOD_EVENT_TARGET_STATE:
+		request_director_set_target_state(requests, event->id,
+						  event->state, now_ms);
+		break;
+	case FLOOD_EVENT_NODE_COUNT:
+		request_director_set_node_count(requests, event->node_count);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Gives an event to the node's directors, or to the proxy of a baseline. */
+void flood_node_handle(struct flood_node *node, const struct flood_event *event,
+		       int64_t now_ms)
+{
+	if (node->proxy) {
+		if (event->kind == FLOOD_EVENT_ARRIVE)
+			flood_proxy_arrive(node->proxy, &event->request,
+					   now_ms);
+		else if (event->kind == FLOOD_EVENT_ENDED)
+			flood_proxy_ended(node->proxy, event->id,
+					  event->outcome, now_ms);
+		return;
+	}
+	handle_claims(node, event, now_ms);
+	handle_requests(node, event, now_ms);
+	node->next_ms = request_director_tick(node->requests, now_ms);
+}
+
+/* Lets time pass on a node. */
+void flood_node_tick(struct flood_node *node, int64_t now_ms)
+{
+	if (node->proxy) {
+		flood_proxy_tick(node->proxy, now_ms);
+		return;
+	}
+	if (node->next_ms <= now_ms)
+		node->next_ms = request_director_tick(node->requests, now_ms);
+	claim_director_tick(node->claims, now_ms);
+}
+
+/* Frees the node's directors. */
+void flood_node_clear(struct flood_node *node)
+{
+	request_director_free(node->requests);
+	claim_director_free(node->claims);
+	flood_proxy_free(node->proxy);
+	node->requests = NULL;
+	node->claims = NULL;
+	node->proxy = NULL;
+}
--- /dev/null
+++ b/ctl/src/flood_proxy.c
@@ -0,0 +1,147 @@
+#include "flood_proxy.h"
+
+#define ATTEMPTS_MAX 5
+#define TARGETS_MAX 16
+
+struct proxy_request {
+	struct request_event event;
+	uint64_t attempt_id;
+	uint32_t target;
+	uint32_t attempt_count;
+};
+
+struct flood_proxy {
+	struct flood_proxy_options options;
+	GQueue waiting;
+	GHashTable *running;
+	uint64_t next_attempt_id;
+	uint32_t next_target;
+	uint32_t in_flight[TARGETS_MAX];
+};
+
+/* Makes a proxy; the caller frees it with flood_proxy_free. */
+struct flood_proxy *flood_proxy_new(const struct flood_proxy_options *options)
+{
+	struct flood_proxy *proxy = g_new0(struct flood_proxy, 1);
+
+	proxy->options = *options;
+	g_queue_init(&proxy->waiting);
+	proxy->running = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       NULL, g_free);
+	return proxy;
+}
+
+/* Frees the proxy; NULL is allowed. */
+void flood_proxy_free(struct flood_proxy *proxy)
+{
+	if (!proxy)
+		return;
+	g_queue_clear_full(&proxy->waiting, g_free);
+	g_hash_table_destroy(proxy->running);
+	g_free(proxy);
+}
+
+static void refuse(struct flood_proxy *proxy, struct proxy_request *request,
+		   enum refusal_kind kind)
+{
+	struct refusal refusal = {.kind = kind, .reason = REASON_QUEUE_FULL};
+
+	proxy->options.effects.refuse(proxy->options.effects.context,
+				      request->event.request_id, &refusal);
+	g_free(request);
+}
+
+static void start(struct flood_proxy *proxy, struct proxy_request *request,
+		  const struct rule *rule, uint32_t target)
+{
+	struct placement placement = {
+		.kind = PLACE_TO_TARGET,
+		.target_id = rule->targets[target].target_id,
+		.endpoint = rule->targets[target].endpoint,
+	};
+
+	request->attempt_id = ++proxy->next_attempt_id;
+	request->target = target;
+	request->attempt_count++;
+	proxy->in_flight[target]++;
+	g_hash_table_insert(proxy->running, &request->attempt_id, request);
+	proxy->options.effects.start(
+		proxy->options.effects.context, request->event.request_id,
+		request->attempt_id, &placement, request->event.deadline_ms);
+}
+
+static bool start_first(struct flood_proxy *proxy, int64_t now_ms)
+{
+	struct proxy_request *request = g_queue_peek_head(&proxy->waiting);
+	const struct rule *rule =
+		rule_set_by_id(proxy->options.rules, request->event.service_id);
+
+	if (now_ms >= request->event.deadline_ms) {
+		g_queue_pop_head(&proxy->waiting);
+		refuse(proxy, request, REFUSAL_NOT_RUN);
+		return true;
+	}
+	for (uint32_t i = 0; i < rule->target_count; i++) {
+		uint32_t target = proxy->next_target++ % rule->target_count;
+
+		if (proxy->in_flight[target] >= proxy->options.target_limit)
+			continue;
+		g_queue_pop_head(&proxy->waiting);
+		start(proxy, request, rule, target);
+		return true;
+	}
+	return false;
+}
+
+/* Starts what the limits allow. */
+void flood_proxy_tick(struct flood_proxy *proxy, int64_t now_ms)
+{
+	while (proxy->waiting.length > 0 && start_first(proxy, now_ms))
+		;
+}
+
+/* Queues a request, or refuses it when the queue is full. */
+void flood_proxy_arrive(struct flood_proxy *proxy,
+			const struct request_event *event, int64_t now_ms)
+{
+	struct proxy_request *request = g_new0(struct proxy_request, 1);
+
+	request->event = *event;
+	if (proxy->waiting.length >= proxy->options.queue_limit) {
+		refuse(proxy, request, REFUSAL_NOT_RUN);
+		return;
+	}
+	g_queue_push_tail(&proxy->waiting, request);
+	flood_proxy_tick(proxy, now_ms);
+}
+
+static void fail(struct flood_proxy *proxy, struct proxy_request *request,
+		 enum attempt_outcome outcome, int64_t now_ms)
+{
+	if (proxy->options.is_retrying &&
+	    request->attempt_count < ATTEMPTS_MAX &&
+	    now_ms < request->event.deadline_ms)
+		g_queue_push_tail(&proxy->waiting, request);
+	else
+		refuse(proxy, request,
+		       outcome == ATTEMPT_SHED ? REFUSAL_NOT_RUN
+					       : REFUSAL_UNKNOWN);
+}
+
+/* Notes how an attempt ended. */
+void flood_proxy_ended(struct flood_proxy *proxy, uint64_t attempt_id,
+		       enum attempt_outcome outcome, int64_t now_ms)
+{
+	struct proxy_request *request =
+		g_hash_table_lookup(proxy->running, &attempt_id);
+
+	if (!request)
+		return;
+	g_hash_table_steal(proxy->running, &attempt_id);
+	proxy->in_flight[request->target]--;
+	if (outcome == ATTEMPT_WHOLE)
+		g_free(request);
+	else
+		fail(proxy, request, outcome, now_ms);
+	flood_proxy_tick(proxy, now_ms);
+}
--- /dev/null
+++ b/ctl/src/flood_proxy.h
@@ -0,0 +1,28 @@
+#ifndef CTL_FLOOD_PROXY_H
+#define CTL_FLOOD_PROXY_H
+
+#include <core/request_director.h>
+
+/*
+ * The baseline: one queue for all classes, a fixed limit for each target,
+ * targets in turn; with is_retrying, every failure is retried.
+ */
+struct flood_proxy;
+
+struct flood_proxy_options {
+	const struct rule_set *rules;
+	uint32_t queue_limit;
+	uint32_t target_limit;
+	bool is_retrying;
+	struct request_effects effects;
+};
+
+struct flood_proxy *flood_proxy_new(const struct flood_proxy_options *options);
+void flood_proxy_free(struct flood_proxy *proxy);
+void flood_proxy_arrive(struct flood_proxy *proxy,
+			const struct request_event *event, int64_t now_ms);
+void flood_proxy_ended(struct flood_proxy *proxy, uint64_t attempt_id,
+		       enum attempt_outcome outcome, int64_t now_ms);
+void flood_proxy_tick(struct flood_proxy *proxy, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/ctl/src/flood_target.h
@@ -0,0 +1,55 @@
+#ifndef CTL_FLOOD_TARGET_H
+#define CTL_FLOOD_TARGET_H
+
+#include <core/attempt_outcome.h>
+#include <core/request_director.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct driver;
+struct flood_target;
+struct flood_try;
+
+/* One attempt on its way through a target. */
+struct flood_job {
+	uint64_t attempt_id;
+	uint64_t node_id;
+	struct flood_try *trial;
+	struct flood_target *target;
+	uint32_t work_ms;
+	bool is_cancelled;
+	bool has_run;
+	uint32_t refs;
+};
+
+/*
+ * A back end with slots and a short backlog, which sheds beyond them. ran,
+ * answer and lose tell the bench, which owns the jobs.
+ */
+struct flood_target {
+	struct driver *driver;
+	uint32_t index;
+	uint32_t slot_count;
+	uint32_t backlog_limit;
+	uint32_t running_count;
+	uint32_t cold_jobs_left;
+	uint32_t slow_percent;
+	uint32_t reset_ppm;
+	uint32_t lose_ppm;
+	uint32_t truncate_ppm;
+	bool is_dead;
+	bool ignores_cancel;
+	uint64_t busy_ms;
+	GQueue backlog;
+	void *context;
+	void (*ran)(void *context, struct flood_job *job);
+	void (*answer)(void *context, struct flood_job *job,
+		       enum attempt_outcome outcome);
+	void (*lose)(void *context, struct flood_job *job);
+};
+
+void flood_target_take(struct flood_target *target, struct flood_job *job);
+void flood_target_clear(struct flood_target *target);
+
+#endif
