--- a/ctl/include/ctl/bench.h
+++ b/ctl/include/ctl/bench.h
@@ -13,5 +13,6 @@
 extern const struct bench bench_config;
 extern const struct bench bench_decide;
 extern const struct bench bench_path;
+extern const struct bench bench_flood;
 
 #endif
--- a/ctl/src/bench_command.c
+++ b/ctl/src/bench_command.c
@@ -8,6 +8,7 @@
 	&bench_config,
 	&bench_decide,
 	&bench_path,
+	&bench_flood,
 };
 
 #define BENCH_COUNT (sizeof(benches) / sizeof(benches[0]))
