Cut open answers when a node stops without a drain

A node that was stopped before its drain was over closed connections in order, so an HTTP/1.0 caller took part of an answer for the whole. Open answers are now reset first; a drain row with such a caller shows it.

--- a/daemon/src/caller_exchange.c
+++ b/daemon/src/caller_exchange.c
@@ -8,8 +8,10 @@
 #include <event2/http_struct.h>
 #include <task/timer.h>
 
-/* Bytes of an answer that may wait for a slow caller. */
+/* Bytes of an answer that may wait for a slow caller, */
 #define PENDING_BYTES_MAX (256 * 1024)
+/* and how many where the node holds much already. */
+#define PENDING_BYTES_TIGHT (16 * 1024)
 /* A caller must take this much in each stall_timeout_ms. */
 #define PROGRESS_BYTES_MIN 4096
 
@@ -36,11 +38,15 @@
 	struct caller_exchange *exchange = context;
 
 	exchange->written_bytes += info->n_deleted;
+	buffer_budget_take(exchange->options.budget, info->n_added);
+	buffer_budget_return(exchange->options.budget, info->n_deleted);
 }
 
 static void end(struct caller_exchange *exchange, bool is_written)
 {
 	evbuffer_remove_cb(output_of(exchange), on_output, exchange);
+	buffer_budget_return(exchange->options.budget,
+			     evbuffer_get_length(output_of(exchange)));
 	caller_watch_free(exchange->watch);
 	timer_free(exchange->timer);
 	exchange->options.ended(exchange->options.context,
@@ -167,6 +173,13 @@
 				evhttp_request_get_response_code_line(answer));
 }
 
+static size_t pending_limit(const struct caller_exchange *exchange)
+{
+	return buffer_budget_is_tight(exchange->options.budget)
+		       ? PENDING_BYTES_TIGHT
+		       : PENDING_BYTES_MAX;
+}
+
 /*
  * Moves bytes of the body to the caller. Returns true when the caller is
  * behind; no more may be added before drained runs.
@@ -180,7 +193,8 @@
 	}
 	evhttp_send_reply_chunk_with_cb(exchange->options.request, bytes,
 					on_drained, exchange);
-	return evbuffer_get_length(output_of(exchange)) >= PENDING_BYTES_MAX;
+	return evbuffer_get_length(output_of(exchange)) >=
+	       pending_limit(exchange);
 }
 
 /* Sends a whole answer of our own; ended may run before this returns. */
--- a/daemon/src/caller_exchange.h
+++ b/daemon/src/caller_exchange.h
@@ -13,6 +13,7 @@
 struct caller_exchange_options {
 	struct task *task;
 	const struct request_settings *settings;
+	struct buffer_budget *budget;
 	struct caller_connection *connection;
 	struct evhttp_request *request;
 	uint64_t request_id;
--- a/daemon/src/caller_listener.c
+++ b/daemon/src/caller_listener.c
@@ -25,14 +25,19 @@
 	GHashTable *connections;
 };
 
+static void change_count(struct caller_listener *listener, int32_t change)
+{
+	*listener->options.connection_count += (uint32_t)change;
+	listener->options.changed(listener->options.context);
+}
+
 static void on_closed(void *context, struct caller_connection *connection)
 {
 	struct caller_listener *listener = context;
 
 	g_hash_table_remove(listener->connections,
 			    caller_connection_stream(connection));
-	(*listener->options.connection_count)--;
-	listener->options.changed(listener->options.context);
+	change_count(listener, -1);
 }
 
 /* evhttp registers its connection as the context of the stream's callbacks. */
@@ -48,13 +53,13 @@
 	void *http = NULL;
 
 	bufferevent_getcb(stream, NULL, NULL, NULL, &http);
-	if (!http)
+	if (!http) {
+		change_count(listener, -1);
 		return;
+	}
 	options.http = http;
 	g_hash_table_insert(listener->connections, stream,
 			    caller_connection_new(&options));
-	(*listener->options.connection_count)++;
-	listener->options.changed(listener->options.context);
 }
 
 static void on_adopt(evutil_socket_t fd, short what, void *context)
@@ -63,8 +68,10 @@
 	struct bufferevent *stream;
 
 	while ((stream = g_queue_pop_head(&listener->accepted)) != NULL) {
-		/* Not freed meanwhile: then ours was the last reference. */
-		if (bufferevent_decref(stream) == 0)
+		/* Ours was the last reference: it was freed meanwhile. */
+		if (bufferevent_decref(stream))
+			change_count(listener, -1);
+		else
 			adopt(listener, stream);
 	}
 }
@@ -82,6 +89,7 @@
 	bufferevent_incref(stream);
 	g_queue_push_tail(&listener->accepted, stream);
 	event_active(listener->adopt_event, EV_TIMEOUT, 0);
+	change_count(listener, 1);
 	return stream;
 }
 
--- a/daemon/src/request_arrival.c
+++ b/daemon/src/request_arrival.c
@@ -37,6 +37,7 @@
 	struct caller_exchange_options options = {
 		.task = front->options.task,
 		.settings = &front->options.settings->requests,
+		.budget = &front->budget,
 		.connection = connection,
 		.request = request,
 		.request_id = ++front->next_request_id,
--- a/daemon/src/request_counters.c
+++ b/daemon/src/request_counters.c
@@ -43,8 +43,8 @@
 			   COUNTER_GAUGE},
 	[CONNECTIONS_OPEN] = {"shallot_caller_connections_open",
 			      "Connections of callers.", COUNTER_GAUGE},
-	[BUFFERED_BYTES] = {"shallot_buffered_request_bytes",
-			    "Bytes held of requests that are not answered.",
+	[BUFFERED_BYTES] = {"shallot_buffered_bytes",
+			    "Bytes held of requests and answers.",
 			    COUNTER_GAUGE},
 };
 
--- a/daemon/src/request_front.c
+++ b/daemon/src/request_front.c
@@ -188,12 +188,24 @@
 	return NULL;
 }
 
+/* An orderly close would make the part of an answer look like the whole. */
+static void cut_all(struct request_front *front)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, front->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		caller_exchange_cut(((struct request_entry *)value)->exchange);
+}
+
 /* Closes all connections, whatever they carry; NULL is allowed. */
 void request_front_free(struct request_front *front)
 {
 	if (!front)
 		return;
 	front->is_stopping = true;
+	cut_all(front);
 	g_hash_table_destroy(front->attempts);
 	g_ptr_array_free(front->listeners, TRUE);
 	g_hash_table_destroy(front->entries);
--- a/daemon/test/drain_test.c
+++ b/daemon/test/drain_test.c
@@ -71,6 +71,17 @@
 	 "broken",
 	 false,
 	 false},
+	{"never-ends-old-caller",
+	 "GET /x HTTP/1.0\r\nHost: s\r\n\r\n",
+	 {{SCRIPT_RUN, NULL, 0},
+	  {SCRIPT_SEND,
+	   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	   "2\r\nhe\r\n",
+	   0},
+	  {SCRIPT_HANG, NULL, 0}},
+	 "broken",
+	 false,
+	 false},
 };
 
 /* What the drain reports, from another thread. */
@@ -207,12 +218,13 @@
 	wait_for_done(&fixture.report);
 	ck_assert(fixture.report.is_drained == row->is_drained);
 	wait_for_refusal(&fixture.node.settings->listen_requests);
-	if (row->request) {
-		ck_assert(row->is_drained ? !raw_caller_fill(&fixture.caller)
-					  : true);
-		raw_caller_close(&fixture.caller);
-	}
+	if (row->is_drained && row->request)
+		ck_assert(!raw_caller_fill(&fixture.caller));
 	teardown(&fixture);
+	if (!row->is_drained)
+		check_answer(&fixture, row);
+	if (row->request)
+		raw_caller_close(&fixture.caller);
 }
 END_TEST
 
--- a/daemon/test/target_faults_test.c
+++ b/daemon/test/target_faults_test.c
@@ -518,6 +518,23 @@
 }
 END_TEST
 
+/* A target that is gone: no byte reaches it, so the request did not run. */
+START_TEST(test_refused)
+{
+	struct fixture fixture;
+	struct raw_answer answer;
+
+	test_row("target_faults", "refused");
+	setup(&fixture, &rows[0]);
+	script_target_free(fixture.target);
+	fixture.target = NULL;
+	ask(&fixture, &rows[0], &answer);
+	ck_assert_str_eq(raw_answer_outcome(&answer), "not-run");
+	g_free(answer.head);
+	teardown(&fixture);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("target_faults");
@@ -526,6 +543,7 @@
 	tcase_set_timeout(tcase, 60);
 	tcase_add_loop_test(tcase, test_target_fault, 0,
 			    sizeof(rows) / sizeof(rows[0]));
+	tcase_add_test(tcase, test_refused);
 	suite_add_tcase(suite, tcase);
 	return test_main(suite);
 }
