Drain a target in the middle of the demo, through store and VM list

The demo read rules from a file and drained nothing.

In the middle a target's VM is listed as leaving; 4 s later it may get no further request, else the exit code is 1. Imbalance is printed when the drain begins, as a drained target would blur it.

--- a/ctl/src/demo_command.c
+++ b/ctl/src/demo_command.c
@@ -11,15 +11,21 @@
 	{"duration-s", required_argument, NULL, 'd'},
 	{"node", required_argument, NULL, 'n'},
 	{"rules", required_argument, NULL, 'r'},
+	{"store", required_argument, NULL, 's'},
+	{"vm-list", required_argument, NULL, 'v'},
 	{"help", no_argument, NULL, 'h'},
 	{NULL, 0, NULL, 0},
 };
 
 static const char usage_text[] =
-	"Usage: shallotctl demo --rules FILE --node REQUESTS,PACKETS ... "
-	"[--duration-s N]\n"
-	"Runs stand-in targets and a fabric, drives requests and flows through "
-	"the nodes\nand exits 1 when a flow broke or an answer was wrong. "
+	"Usage: shallotctl demo --rules FILE --store ADDRESS --vm-list "
+	"ADDRESS\n"
+	"                       --node REQUESTS,PACKETS ... [--duration-s N]\n"
+	"Runs stand-ins for the store, the VM list, targets and the fabric, "
+	"waits for a\nline on standard input, drives requests and flows "
+	"through "
+	"the nodes and drains a\ntarget in the middle. Exits 1 when a flow "
+	"broke, an answer was wrong or the\ndrained target still got new work. "
 	"scripts/demo starts the nodes.\n";
 
 static bool read_node(struct demo_options *options, const char *text)
@@ -56,6 +62,10 @@
 	case 'r':
 		options->rules_path = optarg;
 		return true;
+	case 's':
+		return endpoint_parse(&options->store, optarg);
+	case 'v':
+		return endpoint_parse(&options->vm_list, optarg);
 	default:
 		return false;
 	}
@@ -66,7 +76,7 @@
 	struct demo_options options = {.duration_s = DEMO_DURATION_DEFAULT_S};
 	int option;
 
-	while ((option = getopt_long(argc, argv, "d:n:r:h", long_options,
+	while ((option = getopt_long(argc, argv, "d:n:r:s:v:h", long_options,
 				     NULL)) != -1) {
 		if (option == 'h') {
 			fputs(usage_text, stdout);
@@ -77,7 +87,8 @@
 			return EXIT_CODE_USAGE;
 		}
 	}
-	if (options.node_count == 0 || !options.rules_path) {
+	if (options.node_count == 0 || !options.rules_path ||
+	    options.store.port == 0 || options.vm_list.port == 0) {
 		fputs(usage_text, stderr);
 		return EXIT_CODE_USAGE;
 	}
--- a/ctl/src/demo_run.c
+++ b/ctl/src/demo_run.c
@@ -1,6 +1,6 @@
 #include "demo_run.h"
 
-#include "demo_targets.h"
+#include "demo_drain.h"
 
 #include <ctl/command.h>
 #include <ctl/load_report.h>
@@ -31,6 +31,8 @@
 struct demo {
 	const struct demo_options *options;
 	struct demo_targets *targets;
+	struct demo_platform *platform;
+	struct demo_drain drain;
 	struct fake_fabric *fabric;
 	struct load_task *load;
 	struct load_options load_options;
@@ -105,6 +107,10 @@
 	for (uint32_t i = 1; i <= demo->options->duration_s; i++) {
 		g_usleep(US_PER_S);
 		print_progress(demo, i);
+		if (i == demo->drain.start_s)
+			demo_targets_print_imbalance(demo->targets,
+						     demo->fabric);
+		demo_drain_second(&demo->drain, i);
 	}
 	load_task_join(demo->load);
 }
@@ -123,6 +129,7 @@
 	uint64_t wrong = verdict->outcome_counts[LOAD_WRONG] +
 			 verdict->outcome_counts[LOAD_BROKEN] +
 			 verdict->outcome_counts[LOAD_REJECTED];
+	bool is_good;
 
 	for (int i = 0; i < LOAD_OUTCOME_COUNT; i++)
 		printf("%s=%" PRIu64 " ",
@@ -130,21 +137,52 @@
 		       verdict->outcome_counts[i]);
 	printf("\npackets: %" PRIu64 " sent, %" PRIu64 " arrived\n",
 	       verdict->flows.sent_count, verdict->flows.arrived_count);
-	demo_targets_print_imbalance(demo->targets, demo->fabric);
 	printf("broken flows: %" PRIu64 " of %" PRIu64 "\n"
 	       "wrong answers: %" PRIu64 "\n",
 	       verdict->flows.broken_count, verdict->flows.flow_count, wrong);
-	return verdict->flows.broken_count + wrong == 0 &&
-			       verdict->outcome_counts[LOAD_WHOLE] > 0
-		       ? EXIT_CODE_DONE
-		       : EXIT_CODE_FAILED;
+	is_good = demo_drain_report(&demo->drain) && wrong == 0 &&
+		  verdict->flows.broken_count == 0 &&
+		  verdict->outcome_counts[LOAD_WHOLE] > 0;
+	return is_good ? EXIT_CODE_DONE : EXIT_CODE_FAILED;
 }
 
-static bool start(struct demo *demo, GError **error)
+static bool start_platform(struct demo *demo, GError **error)
 {
 	demo->targets = demo_targets_new(demo->options->rules_path, error);
-	return demo->targets && start_fabric(demo, error) &&
-	       start_load(demo, error);
+	if (!demo->targets)
+		return false;
+	demo->platform = demo_platform_new(demo->options, demo->targets, error);
+	return demo->platform != NULL;
+}
+
+/* Whoever started the nodes says when they have the rules. */
+static void wait_for_word(void)
+{
+	printf("waiting for a line on standard input\n");
+	fflush(stdout);
+	while (getchar() > '\n')
+		;
+}
+
+static bool start_traffic(struct demo *demo, GError **error)
+{
+	if (!start_fabric(demo, error) || !start_load(demo, error))
+		return false;
+	demo->drain = (struct demo_drain){
+		.platform = demo->platform,
+		.targets = demo->targets,
+		.fabric = demo->fabric,
+		.start_s = demo->options->duration_s / 2,
+	};
+	return true;
+}
+
+static bool start(struct demo *demo, GError **error)
+{
+	if (!start_platform(demo, error))
+		return false;
+	wait_for_word();
+	return start_traffic(demo, error);
 }
 
 /* Runs the demo and returns the process's exit code. */
@@ -165,6 +203,7 @@
 		g_error_free(error);
 	}
 	load_task_free(demo.load);
+	demo_platform_free(demo.platform);
 	demo_targets_free(demo.targets);
 	fake_fabric_free(demo.fabric);
 	return code;
--- a/ctl/src/demo_run.h
+++ b/ctl/src/demo_run.h
@@ -7,11 +7,16 @@
 #define DEMO_DURATION_DEFAULT_S 15
 #define DEMO_DURATION_MAX_S 3600
 
-/* The nodes that already run, and the rules that they were given. */
+/*
+ * The nodes that already run, where the platform's stand-ins listen, and the
+ * rules that an operator brings into force.
+ */
 struct demo_options {
 	struct endpoint requests[DEMO_NODE_COUNT_MAX];
 	struct endpoint packets[DEMO_NODE_COUNT_MAX];
 	uint32_t node_count;
+	struct endpoint store;
+	struct endpoint vm_list;
 	uint32_t duration_s;
 	const char *rules_path;
 };
--- a/ctl/src/demo_targets.c
+++ b/ctl/src/demo_targets.c
@@ -13,6 +13,7 @@
 	struct demo_targets *owner;
 	uint32_t index;
 	char name[NAME_BYTES];
+	struct endpoint endpoint;
 	struct fake_target *fake;
 };
 
@@ -53,6 +54,7 @@
 	};
 
 	target->owner = targets;
+	target->endpoint = *endpoint;
 	target->index = targets->targets->len;
 	g_snprintf(target->name, sizeof(target->name), "target-%u",
 		   target->index + 1);
@@ -164,6 +166,26 @@
 	return (const uint32_t *)targets->service_of->data;
 }
 
+static const struct demo_target *target_at(const struct demo_targets *targets,
+					   uint32_t target)
+{
+	return g_ptr_array_index(targets->targets, target);
+}
+
+/* Returns a target's address. */
+const struct endpoint *demo_targets_endpoint(const struct demo_targets *targets,
+					     uint32_t target)
+{
+	return &target_at(targets, target)->endpoint;
+}
+
+/* Returns how many requests a target has run; any thread may ask. */
+uint64_t demo_targets_request_count(const struct demo_targets *targets,
+				    uint32_t target)
+{
+	return fake_target_request_count(target_at(targets, target)->fake);
+}
+
 /* Says who is told of packets; the fabric must outlive the targets. */
 void demo_targets_set_fabric(struct demo_targets *targets,
 			     struct fake_fabric *fabric)
@@ -199,17 +221,16 @@
 		struct spread requests = {.count = 0};
 
 		for (uint32_t j = 0; j < targets->targets->len; j++) {
-			const struct demo_target *target =
-				g_ptr_array_index(targets->targets, j);
-
 			if (demo_targets_service_of(targets)[j] != i)
 				continue;
 			spread_add(&flows,
 				   (double)fake_fabric_target_flows(fabric, j));
-			spread_add(&requests, (double)fake_target_request_count(
-						      target->fake));
+			spread_add(
+				&requests,
+				(double)demo_targets_request_count(targets, j));
 		}
-		printf("imbalance max/mean of %s: flows %.2f, requests %.2f\n",
+		printf("imbalance so far, max/mean of %s: flows %.2f, requests "
+		       "%.2f\n",
 		       (const char *)g_ptr_array_index(targets->service_names,
 						       i),
 		       spread_ratio(&flows), spread_ratio(&requests));
--- a/ctl/src/demo_targets.h
+++ b/ctl/src/demo_targets.h
@@ -14,6 +14,10 @@
 const struct endpoint *
 demo_targets_services(const struct demo_targets *targets);
 const uint32_t *demo_targets_service_of(const struct demo_targets *targets);
+const struct endpoint *demo_targets_endpoint(const struct demo_targets *targets,
+					     uint32_t target);
+uint64_t demo_targets_request_count(const struct demo_targets *targets,
+				    uint32_t target);
 void demo_targets_set_fabric(struct demo_targets *targets,
 			     struct fake_fabric *fabric);
 void demo_targets_print_imbalance(const struct demo_targets *targets,
--- a/ctl/src/load_arguments.c
+++ b/ctl/src/load_arguments.c
@@ -136,12 +136,25 @@
 	return addr->bytes[0] == LOOPBACK_NET;
 }
 
+/* An IPv6 address stands in brackets (RFC 3986, section 3.2.2). */
+static bool read_host(struct ip_addr *addr, const char *host)
+{
+	size_t length = strlen(host);
+	bool is_bracketed = length >= 2 && host[0] == '[';
+	char *text =
+		is_bracketed ? g_strndup(host + 1, length - 2) : g_strdup(host);
+	bool is_valid = ip_addr_parse(addr, text);
+
+	g_free(text);
+	return is_valid;
+}
+
 static bool read_address(struct load_arguments *arguments,
 			 const struct evhttp_uri *uri)
 {
 	int port = evhttp_uri_get_port(uri);
 
-	if (!ip_addr_parse(&arguments->node.addr, evhttp_uri_get_host(uri)))
+	if (!read_host(&arguments->node.addr, evhttp_uri_get_host(uri)))
 		return false;
 	arguments->node.port = (uint16_t)(port > 0 ? port : HTTP_PORT);
 	if (arguments->is_any_address || is_loopback(&arguments->node.addr))
--- a/fakes/src/fake_fabric.c
+++ b/fakes/src/fake_fabric.c
@@ -38,7 +38,7 @@
 	/* Every flow so far; the last flow_count ones are open. */
 	GArray *flows;
 	uint32_t *open_flows;
-	uint64_t *target_flows;
+	atomic_uint_fast64_t *target_flows;
 	uint64_t arrived_count;
 	atomic_uint_fast64_t sent_count;
 	atomic_bool is_stopping;
@@ -117,7 +117,7 @@
 	flow->arrived_count++;
 	if (flow->target == TARGET_UNKNOWN) {
 		flow->target = arrival->target;
-		fabric->target_flows[arrival->target]++;
+		atomic_fetch_add(&fabric->target_flows[arrival->target], 1);
 	}
 	if (flow->target != arrival->target ||
 	    fabric->options.target_services[arrival->target] != flow->service)
@@ -168,7 +168,8 @@
 {
 	fabric->rand = g_rand_new_with_seed((guint32)fabric->options.seed);
 	fabric->flows = g_array_new(FALSE, FALSE, sizeof(struct fabric_flow));
-	fabric->target_flows = g_new0(uint64_t, fabric->options.target_count);
+	fabric->target_flows =
+		g_new0(atomic_uint_fast64_t, fabric->options.target_count);
 	fabric->open_flows = g_new0(uint32_t, fabric->options.flow_count);
 	for (uint32_t i = 0; i < fabric->options.flow_count; i++)
 		fabric->open_flows[i] = open_flow(fabric);
@@ -267,9 +268,9 @@
 	}
 }
 
-/* Returns how many flows met a target first; after fake_fabric_finish. */
+/* Returns how many flows met a target first; any thread may ask. */
 uint64_t fake_fabric_target_flows(const struct fake_fabric *fabric,
 				  uint32_t target)
 {
-	return fabric->target_flows[target];
+	return atomic_load(&fabric->target_flows[target]);
 }
