--- a/core/test/rule_test.c
+++ b/core/test/rule_test.c
@@ -14,67 +14,67 @@
 	const char *expected;
 } fault_rows[] = {
 	{"whole", LINE("desk" REST), 0, NULL},
-	{"old form written out", LINE("desk v=1" REST), 0, NULL},
+	{"old-form-written-out", LINE("desk v=1" REST), 0, NULL},
 	{"tabs", LINE("desk\taddress=10.0.0.1:80\tpool=10.1.0.1:1 # Lin"), 0,
 	 NULL},
-	{"carriage return", LINE("desk" REST "\r"), 0, NULL},
-	{"chinese comment",
+	{"carriage-return", LINE("desk" REST "\r"), 0, NULL},
+	{"chinese-comment",
 	 LINE("desk address=10.0.0.1:80 pool=10.1.0.1:1 # \xe6\x9e\x97\xe7\x8e"
 	      "\x89\xe5\xa9\xb7"),
 	 0, NULL},
-	{"all fields",
+	{"all-fields",
 	 LINE("desk v=2 protocol=http class=urgent repeat=never limit=9 "
 	      "timeout_ms=500 address=10.0.0.1:80,[2001:db8::1]:80 "
 	      "pool=10.1.0.1:8080~2*3@north-a # Lin"),
 	 0, NULL},
-	{"no comment", LINE("desk address=10.0.0.1:80 pool=10.1.0.1:8080"), 44,
+	{"no-comment", LINE("desk address=10.0.0.1:80 pool=10.1.0.1:8080"), 44,
 	 "expected # and who asked for the rule, found nothing"},
-	{"empty comment", LINE("desk address=10.0.0.1:80 #  "), 29,
+	{"empty-comment", LINE("desk address=10.0.0.1:80 #  "), 29,
 	 "expected # and who asked for the rule, found nothing"},
-	{"no address", LINE("desk pool=10.1.0.1:8080 # Lin"), 24,
+	{"no-address", LINE("desk pool=10.1.0.1:8080 # Lin"), 24,
 	 "expected address=, found nothing"},
-	{"no pool", LINE("desk address=10.0.0.1:80 # Lin"), 25,
+	{"no-pool", LINE("desk address=10.0.0.1:80 # Lin"), 25,
 	 "expected pool=, found nothing"},
-	{"unknown field", LINE("desk colour=red" REST), 6,
+	{"unknown-field", LINE("desk colour=red" REST), 6,
 	 "expected address=, pool=, protocol=, class=, repeat=, limit=, "
 	 "timeout_ms= or v=, found \"colour=red\""},
-	{"field twice", LINE("desk class=bulk class=bulk" REST), 17,
+	{"field-twice", LINE("desk class=bulk class=bulk" REST), 17,
 	 "expected each field only once, found \"class=bulk\""},
-	{"bad address", LINE("desk address=10.0.0:80 pool=10.1.0.1:1 # Lin"),
+	{"bad-address", LINE("desk address=10.0.0:80 pool=10.1.0.1:1 # Lin"),
 	 14, "expected address:port, found \"10.0.0:80\""},
-	{"address twice",
+	{"address-twice",
 	 LINE("desk address=10.0.0.1:80,10.0.0.1:80 pool=10.1.0.1:1 # Lin"), 26,
 	 "expected each address only once, found \"10.0.0.1:80\""},
-	{"target twice",
+	{"target-twice",
 	 LINE("desk address=10.0.0.1:80 pool=10.1.0.1:1,10.1.0.1:1 # Lin"), 42,
 	 "expected each target only once, found \"10.1.0.1:1\""},
-	{"bad slots", LINE("desk address=10.0.0.1:80 pool=10.1.0.1:1*0 # Lin"),
+	{"bad-slots", LINE("desk address=10.0.0.1:80 pool=10.1.0.1:1*0 # Lin"),
 	 42, "expected slots from 1 to 65535, found \"0\""},
-	{"empty zone", LINE("desk address=10.0.0.1:80 pool=10.1.0.1:1@ # Lin"),
+	{"empty-zone", LINE("desk address=10.0.0.1:80 pool=10.1.0.1:1@ # Lin"),
 	 42, "expected a zone name of 1 to 31 bytes, found nothing"},
-	{"bad protocol", LINE("desk protocol=quic" REST), 15,
+	{"bad-protocol", LINE("desk protocol=quic" REST), 15,
 	 "expected tcp, udp or http, found \"quic\""},
-	{"bad class", LINE("desk class=late" REST), 12,
+	{"bad-class", LINE("desk class=late" REST), 12,
 	 "expected urgent, normal or bulk, found \"late\""},
-	{"bad repeat", LINE("desk repeat=once" REST), 13,
+	{"bad-repeat", LINE("desk repeat=once" REST), 13,
 	 "expected method, always or never, found \"once\""},
-	{"bad limit", LINE("desk limit=0" REST), 12,
+	{"bad-limit", LINE("desk limit=0" REST), 12,
 	 "expected a limit from 1 to 1000000, found \"0\""},
-	{"bad timeout", LINE("desk timeout_ms=1s" REST), 17,
+	{"bad-timeout", LINE("desk timeout_ms=1s" REST), 17,
 	 "expected milliseconds from 1 to 3600000, found \"1s\""},
-	{"incarnation in the old form",
+	{"incarnation-in-the-old-form",
 	 LINE("desk address=10.0.0.1:80 pool=10.1.0.1:1~2 # Lin"), 43,
 	 "expected v=2 with incarnations of targets, found nothing"},
-	{"later form", LINE("desk v=3 colour=red" REST), 8,
+	{"later-form", LINE("desk v=3 colour=red" REST), 8,
 	 "expected form 1 or 2, found \"3\""},
-	{"nul byte", LINE("desk\0" REST), 5,
+	{"nul-byte", LINE("desk\0" REST), 5,
 	 "expected text without NUL bytes, found \"?\""},
-	{"not utf-8", LINE("desk" REST "\xff"), 50,
+	{"not-utf-8", LINE("desk" REST "\xff"), 50,
 	 "expected UTF-8 text, found nothing"},
-	{"name in chinese", LINE("\xe6\x9e\x97" REST), 1,
+	{"name-in-chinese", LINE("\xe6\x9e\x97" REST), 1,
 	 "expected a service name of letters, digits, -, _ and ., found "
 	 "\"\xe6\x9e\x97\""},
-	{"column counts characters",
+	{"column-counts-characters",
 	 LINE("desk class=\xe6\x9e\x97\xe6\x9e\x97 limit=0" REST), 12,
 	 "expected urgent, normal or bulk, found \"\xe6\x9e\x97\xe6\x9e\x97\""},
 	{"empty", LINE(""), 1,
@@ -88,6 +88,7 @@
 	struct rule *rule = rule_read(fault_rows[_i].line,
 				      fault_rows[_i].length_bytes, &fault);
 
+	test_row("rule", fault_rows[_i].name);
 	if (!fault_rows[_i].expected) {
 		ck_assert_msg(rule, "%s: %s", fault_rows[_i].name,
 			      rule_fault_format(&fault, text));
@@ -106,6 +107,7 @@
 	char *line = g_strnfill(RULE_LINE_BYTES_MAX + 1, 'x');
 	struct rule_fault fault;
 
+	test_row("rule", "overlong");
 	ck_assert_ptr_null(rule_read(line, RULE_LINE_BYTES_MAX + 1, &fault));
 	ck_assert_str_eq(fault.expected, "a line of at most 65536 bytes");
 	g_free(line);
@@ -118,12 +120,12 @@
 	const char *lines[2];
 	bool is_same;
 } target_rows[] = {
-	{"same target", {"a v=2" REST, "a" REST}, true},
-	{"another incarnation is another target",
+	{"same-target", {"a v=2" REST, "a" REST}, true},
+	{"another-incarnation-is-another-target",
 	 {"a v=2 address=10.0.0.1:80 pool=10.1.0.1:8080~1 # Lin",
 	  "a v=2 address=10.0.0.1:80 pool=10.1.0.1:8080~2 # Lin"},
 	 false},
-	{"another service is another target", {"a" REST, "b" REST}, false},
+	{"another-service-is-another-target", {"a" REST, "b" REST}, false},
 };
 
 START_TEST(test_target)
--- a/core/test/rules_text_test.c
+++ b/core/test/rules_text_test.c
@@ -15,25 +15,25 @@
 	const char *faults;
 } rows[] = {
 	{"empty", FILE_BYTES(""), 0, ""},
-	{"blank and comment lines", FILE_BYTES("\n \t\r\n# note\n"), 0, ""},
-	{"no newline at the end", FILE_BYTES(GOOD("a", "1")), 1, ""},
+	{"blank-and-comment-lines", FILE_BYTES("\n \t\r\n# note\n"), 0, ""},
+	{"no-newline-at-the-end", FILE_BYTES(GOOD("a", "1")), 1, ""},
 	{"crlf", FILE_BYTES(GOOD("a", "1") "\r\n" GOOD("b", "2") "\r\n"), 2,
 	 ""},
-	{"byte order mark", FILE_BYTES("\xef\xbb\xbf" GOOD("a", "1") "\n"), 1,
+	{"byte-order-mark", FILE_BYTES("\xef\xbb\xbf" GOOD("a", "1") "\n"), 1,
 	 ""},
-	{"bad line between good ones",
+	{"bad-line-between-good-ones",
 	 FILE_BYTES(GOOD("a", "1") "\nb x=1 # Lin\n" GOOD("c", "3") "\n"), 2,
 	 "2:3 "},
-	{"nul byte spares the neighbours",
+	{"nul-byte-spares-the-neighbours",
 	 FILE_BYTES(GOOD("a", "1") "\nb\0b\n" GOOD("c", "3") "\n"), 2, "2:2 "},
-	{"binary garbage",
+	{"binary-garbage",
 	 FILE_BYTES("\x7f"
 		    "ELF\0\x01\x02\xff\n" GOOD("a", "1") "\n"),
 	 1, "1:5 "},
-	{"indent counts", FILE_BYTES("\t a x=1 # Lin\n"), 0, "1:5 "},
-	{"duplicate service",
+	{"indent-counts", FILE_BYTES("\t a x=1 # Lin\n"), 0, "1:5 "},
+	{"duplicate-service",
 	 FILE_BYTES(GOOD("a", "1") "\n" GOOD("a", "2") "\n"), 1, "2:1 "},
-	{"overlapping addresses",
+	{"overlapping-addresses",
 	 FILE_BYTES(GOOD("a", "1") "\n  " GOOD("b", "1") "\n"), 1, "2:13 "},
 };
 
@@ -44,6 +44,7 @@
 	GString *faults = g_string_new(NULL);
 	uint32_t good_count = 0;
 
+	test_row("rules_text", rows[_i].name);
 	for (uint32_t i = 0; i < rules_text_count(text); i++) {
 		const struct rules_text_line *line = rules_text_at(text, i);
 
