--- a/daemon/src/shallotd.c
+++ b/daemon/src/shallotd.c
@@ -1,8 +1,8 @@
 #include <daemon/shallotd.h>
 
-#include <core/node.h>
 #include <daemon/admin_task.h>
 #include <daemon/config_task.h>
+#include <daemon/control_task.h>
 #include <daemon/drain_task.h>
 #include <daemon/log_settings_message.h>
 #include <daemon/packet_task.h>
@@ -11,10 +11,21 @@
 #include <daemon/rules_file.h>
 #include <daemon/rules_message.h>
 
-#define WORK_TASK_COUNT 2
+/*
+ * The places of the tasks. Those before TASK_CONTROL get rules and target
+ * states; those up to it are drained; the configuration task is there only
+ * where there is a store.
+ */
+enum task_place {
+	TASK_PACKETS,
+	TASK_REQUESTS,
+	TASK_CONTROL,
+	TASK_CONFIG,
+	TASK_COUNT_MAX,
+};
 
-/* The work tasks, and the configuration task where there is a store. */
-#define SOURCE_COUNT_MAX (WORK_TASK_COUNT + 1)
+#define WORK_TASK_COUNT TASK_CONTROL
+#define DRAIN_TASK_COUNT (TASK_CONTROL + 1)
 
 struct shallotd {
 	const struct settings *settings;
@@ -23,8 +34,9 @@
 	struct admin_task *admin;
 	struct drain_task *drain;
 	struct config_task *config;
-	struct task *work_tasks[WORK_TASK_COUNT];
-	struct task *sources[SOURCE_COUNT_MAX];
+	struct control_task *control;
+	struct task *tasks[TASK_COUNT_MAX];
+	uint32_t task_count;
 };
 
 /* A node without a store takes its rules from a file. */
@@ -37,30 +49,23 @@
 {
 	struct admin_options options = {
 		.settings = daemon->settings,
-		.sources = daemon->sources,
-		.source_count = WORK_TASK_COUNT + (has_store(daemon) ? 1 : 0),
+		.sources = daemon->tasks,
+		.source_count = DRAIN_TASK_COUNT + (has_store(daemon) ? 1 : 0),
 	};
 
 	daemon->admin = admin_task_new(&options, error);
 	return daemon->admin != NULL;
 }
 
-/* The id is drawn at start, so that a restarted node is a new one. */
-static uint64_t draw_node_id(void)
-{
-	uint64_t node_id = ((uint64_t)g_random_int() << 32) | g_random_int();
-
-	return node_id != NODE_NONE ? node_id : 1;
-}
-
 static bool make_config(struct shallotd *daemon, GError **error)
 {
 	struct config_task_options options = {
 		.settings = daemon->settings,
-		.node_id = draw_node_id(),
-		.work_tasks = daemon->work_tasks,
+		.node_id = control_task_node_id(daemon->control),
+		.work_tasks = daemon->tasks,
 		.work_task_count = WORK_TASK_COUNT,
 		.admin = admin_task_task(daemon->admin),
+		.control = control_task_task(daemon->control),
 	};
 
 	if (!has_store(daemon))
@@ -68,10 +73,20 @@
 	daemon->config = config_task_new(&options, error);
 	if (!daemon->config)
 		return false;
-	daemon->sources[WORK_TASK_COUNT] = config_task_task(daemon->config);
+	daemon->tasks[daemon->task_count++] = config_task_task(daemon->config);
+	control_task_route(daemon->control, PROCEDURE_CONFIG_FIRST,
+			   config_task_task(daemon->config));
 	return true;
 }
 
+static void watch_nodes(struct shallotd *daemon)
+{
+	for (uint32_t i = 0; i < daemon->task_count; i++) {
+		if (i != TASK_CONTROL)
+			control_task_watch(daemon->control, daemon->tasks[i]);
+	}
+}
+
 static bool make_tasks(struct shallotd *daemon, GError **error)
 {
 	struct request_task_options request_options = {
@@ -84,22 +99,25 @@
 	daemon->requests = request_task_new(&request_options, error);
 	if (!daemon->requests)
 		return false;
-	daemon->work_tasks[0] = packet_task_task(daemon->packets);
-	daemon->work_tasks[1] = request_task_task(daemon->requests);
-	for (uint32_t i = 0; i < WORK_TASK_COUNT; i++)
-		daemon->sources[i] = daemon->work_tasks[i];
-	return make_admin(daemon, error) && make_config(daemon, error);
+	daemon->control = control_task_new(daemon->settings, error);
+	if (!daemon->control)
+		return false;
+	daemon->tasks[TASK_PACKETS] = packet_task_task(daemon->packets);
+	daemon->tasks[TASK_REQUESTS] = request_task_task(daemon->requests);
+	daemon->tasks[TASK_CONTROL] = control_task_task(daemon->control);
+	daemon->task_count = DRAIN_TASK_COUNT;
+	if (!make_admin(daemon, error) || !make_config(daemon, error))
+		return false;
+	watch_nodes(daemon);
+	return true;
 }
 
 static bool start_tasks(struct shallotd *daemon, GError **error)
 {
-	for (uint32_t i = 0; i < WORK_TASK_COUNT; i++) {
-		if (!task_start(daemon->work_tasks[i], error))
+	for (uint32_t i = 0; i < daemon->task_count; i++) {
+		if (!task_start(daemon->tasks[i], error))
 			return false;
 	}
-	if (daemon->config &&
-	    !task_start(config_task_task(daemon->config), error))
-		return false;
 	return task_start(admin_task_task(daemon->admin), error);
 }
 
@@ -119,7 +137,7 @@
 	if (!rules)
 		return false;
 	for (uint32_t i = 0; i < WORK_TASK_COUNT; i++)
-		post_or_free(daemon->work_tasks[i], rules_message_new(rules));
+		post_or_free(daemon->tasks[i], rules_message_new(rules));
 	rule_set_free(rules);
 	post_or_free(admin_task_task(daemon->admin), ready_message_new(true));
 	return true;
@@ -141,18 +159,33 @@
 	return NULL;
 }
 
+/*
+ * Tasks post to each other, so none may be freed before all have stopped. The
+ * control task stops last, to carry what the others say at their end.
+ */
+static void stop_tasks(struct shallotd *daemon)
+{
+	if (daemon->admin)
+		task_stop(admin_task_task(daemon->admin));
+	for (uint32_t i = 0; i < daemon->task_count; i++) {
+		if (i != TASK_CONTROL)
+			task_stop(daemon->tasks[i]);
+	}
+	if (daemon->control)
+		task_stop(control_task_task(daemon->control));
+}
+
 /* Stops the tasks and frees the node; NULL is allowed. */
 void shallotd_free(struct shallotd *daemon)
 {
 	if (!daemon)
 		return;
-	/* Tasks post to each other, so the last reader is freed last. */
-	if (daemon->config)
-		task_stop(config_task_task(daemon->config));
+	stop_tasks(daemon);
 	admin_task_free(daemon->admin);
 	config_task_free(daemon->config);
 	request_task_free(daemon->requests);
 	packet_task_free(daemon->packets);
+	control_task_free(daemon->control);
 	drain_task_free(daemon->drain);
 	g_free(daemon);
 }
@@ -166,8 +199,8 @@
 		    GError **error)
 {
 	struct drain_task_options drain_options = {
-		.tasks = daemon->work_tasks,
-		.task_count = WORK_TASK_COUNT,
+		.tasks = daemon->tasks,
+		.task_count = DRAIN_TASK_COUNT,
 		.timeout_ms = daemon->settings->drain_timeout_ms,
 		.context = options->context,
 		.done = options->done,
@@ -182,8 +215,8 @@
 void shallotd_set_log(struct shallotd *daemon, uint32_t level,
 		      uint32_t rate_per_s)
 {
-	for (uint32_t i = 0; i < WORK_TASK_COUNT; i++)
-		post_or_free(daemon->work_tasks[i],
+	for (uint32_t i = 0; i < daemon->task_count; i++)
+		post_or_free(daemon->tasks[i],
 			     log_settings_message_new((enum log_level)level,
 						      rate_per_s));
 }
