Measure how rules reach a fleet of real processes

Cause: the slopes of store calls and control bytes were not measured, and nodes announced no features, so form 2 would never have come into force.

A file that is saved again and again without a pause is now synced after half a second: the first run showed that a burst of ten saves a second waited for its end.

--- a/ctl/include/ctl/command.h
+++ b/ctl/include/ctl/command.h
@@ -21,6 +21,7 @@
 extern const struct command check_command;
 extern const struct command demo_command;
 extern const struct command load_command;
+extern const struct command stand_in_command;
 extern const struct command status_command;
 extern const struct command sync_command;
 
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -5,8 +5,8 @@
 #include <string.h>
 
 static const struct command *const commands[] = {
-	&bench_command, &check_command,	 &demo_command,
-	&load_command,	&status_command, &sync_command,
+	&bench_command,	   &check_command,  &demo_command, &load_command,
+	&stand_in_command, &status_command, &sync_command,
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
@@ -23,7 +23,7 @@
 	      "Checks rules, shows status, loads and measures.\n\n",
 	      out);
 	for (size_t i = 0; i < COMMAND_COUNT; i++)
-		fprintf(out, "  %-8s %s\n", commands[i]->name,
+		fprintf(out, "  %-9s %s\n", commands[i]->name,
 			commands[i]->summary);
 	fputs("\nExit codes: 0 done, 1 failed, 2 usage, 65 bad data, "
 	      "69 platform unavailable.\n",
--- a/ctl/src/file_watch.c
+++ b/ctl/src/file_watch.c
@@ -1,13 +1,18 @@
 #include "file_watch.h"
 
 #include <errno.h>
+#include <inttypes.h>
 #include <stdbool.h>
 #include <string.h>
 #include <sys/inotify.h>
 #include <unistd.h>
 
-/* A save of several writes counts once it has been quiet for so long. */
+/*
+ * A save of several writes counts once it has been quiet for so long, but
+ * saves that follow one another without a pause do not wait for the last.
+ */
 #define QUIET_US 150000
+#define QUIET_WAIT_MAX_US 500000
 #define EVENT_BYTES 4096
 
 struct file_watch {
@@ -16,12 +21,14 @@
 	int fd;
 	struct event *read_event;
 	struct event *quiet_event;
+	int64_t first_us;
 };
 
 static void on_quiet(evutil_socket_t fd, short what, void *context)
 {
 	struct file_watch *watch = context;
 
+	watch->first_us = 0;
 	watch->options.on_saved(watch->options.context);
 }
 
@@ -42,15 +49,25 @@
 	return is_about;
 }
 
+static void wait_for_quiet(struct file_watch *watch)
+{
+	struct timeval quiet = {.tv_usec = QUIET_US};
+	int64_t now_us = g_get_monotonic_time();
+
+	if (watch->first_us == 0)
+		watch->first_us = now_us;
+	if (now_us - watch->first_us <= QUIET_WAIT_MAX_US)
+		event_add(watch->quiet_event, &quiet);
+}
+
 static void on_events(evutil_socket_t fd, short what, void *context)
 {
 	struct file_watch *watch = context;
-	struct timeval quiet = {.tv_usec = QUIET_US};
 	char bytes[EVENT_BYTES];
 	ssize_t length = read(fd, bytes, sizeof(bytes));
 
 	if (length > 0 && is_about_file(watch, bytes, (size_t)length))
-		event_add(watch->quiet_event, &quiet);
+		wait_for_quiet(watch);
 }
 
 static bool open_watch(struct file_watch *watch)
--- a/ctl/test/sync_test.c
+++ b/ctl/test/sync_test.c
@@ -13,6 +13,7 @@
 
 #define TIMEOUT_MS 2000
 #define SAVE_MAX 3
+#define SAVE_INTERVAL_US 20000
 #define STATUS_KEY "/shallotstream/status/north/north-a"
 #define LINE(service, host, comment)                                           \
 	service " address=10.0.0." host ":80 pool=10.1.0.1:8080 # " comment "\n"
@@ -242,6 +243,36 @@
 }
 END_TEST
 
+static void on_save_due(evutil_socket_t fd, short what, void *context)
+{
+	save_in_place(context);
+}
+
+/* Saves that never pause are seen all the same. */
+START_TEST(test_busy_save)
+{
+	struct fixture fixture;
+	struct timeval interval = {.tv_usec = SAVE_INTERVAL_US};
+	struct event_base *base = event_base_new();
+	struct file_watch_options options = {
+		.base = base, .context = base, .on_saved = on_saved};
+	struct file_watch *watch;
+	struct event *saver;
+
+	test_row("sync", "saves-without-a-pause");
+	setup(&fixture);
+	options.path = fixture.path;
+	watch = file_watch_new(&options, NULL);
+	saver = event_new(base, -1, EV_PERSIST, on_save_due, fixture.path);
+	event_add(saver, &interval);
+	ck_assert_int_eq(event_base_dispatch(base), 0);
+	event_free(saver);
+	file_watch_free(watch);
+	event_base_free(base);
+	teardown(&fixture);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("sync");
@@ -250,6 +281,7 @@
 	tcase_set_timeout(tcase, 120);
 	tcase_add_loop_test(tcase, test_sync, 0, G_N_ELEMENTS(rows));
 	tcase_add_loop_test(tcase, test_save, 0, G_N_ELEMENTS(save_rows));
+	tcase_add_test(tcase, test_busy_save);
 	suite_add_tcase(suite, tcase);
 	return test_main(suite);
 }
--- a/daemon/src/control_task.c
+++ b/daemon/src/control_task.c
@@ -6,6 +6,7 @@
 
 #include <core/endpoint_list.h>
 #include <core/membership.h>
+#include <core/node_feature.h>
 #include <core/zone.h>
 #include <daemon/control_message.h>
 #include <daemon/daemon_error.h>
@@ -185,6 +186,7 @@
 	const struct settings *settings = control->settings;
 	struct membership_options options = {
 		.self = {.node_id = control->node_id,
+			 .feature_bits = NODE_FEATURES,
 			 .zone_id = zone_id_from_name(settings->zone),
 			 .region_id = zone_id_from_name(settings->region),
 			 .control = settings->listen_control,
--- a/fakes/src/fake_kv.c
+++ b/fakes/src/fake_kv.c
@@ -6,6 +6,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <inttypes.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
@@ -239,6 +240,17 @@
 	send_all_events(kv);
 }
 
+/* For scripts that measure: how many calls took effect. */
+static void answer_counts(struct fake_kv *kv, struct evhttp_request *request)
+{
+	char *text = g_strdup_printf(
+		"reads %" PRIu64 "\nwrites %" PRIu64 "\nwatches %" PRIu64 "\n",
+		kv->read_count, kv->write_count, kv->watch_count);
+
+	answer(request, text);
+	g_free(text);
+}
+
 static const struct fake_kv_route *find_route(const char *path)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
@@ -265,7 +277,9 @@
 	json_t *body = read_body(request);
 
 	fake_kv_store_expire(kv->store, task_now_ms());
-	if (kv->fault.is_down)
+	if (strcmp(path, "/counts") == 0)
+		answer_counts(kv, request);
+	else if (kv->fault.is_down)
 		http_cut(request);
 	else if (!is_authorized(kv, request))
 		evhttp_send_error(request, STATUS_UNAUTHORIZED, NULL);
