Hang each zone's report on a lease

Cause: the report of a zone that is gone stayed in the store, so that status and sync would wait for its nodes for ever.

--- a/daemon/src/config_task.c
+++ b/daemon/src/config_task.c
@@ -235,7 +235,8 @@
 	int64_t now_ms = task_now_ms();
 
 	rules_gossip_tick(config->gossip, now_ms);
-	zone_reporter_tick(config->reporter, now_ms);
+	zone_reporter_tick(config->reporter,
+			   rules_gossip_is_reporter(config->gossip), now_ms);
 	tick_roster(config, now_ms);
 	publish(config);
 }
--- a/daemon/src/zone_reporter.h
+++ b/daemon/src/zone_reporter.h
@@ -5,7 +5,8 @@
 
 /*
  * Publishes what the nodes of one zone hold, under a key of the zone, so that
- * status reads few keys and writes stay few however many nodes there are.
+ * status reads few keys and writes stay few however many nodes there are. The
+ * key hangs on a lease: when a zone is gone, so is its report.
  */
 struct zone_reporter;
 
@@ -14,6 +15,8 @@
 					const char *key);
 void zone_reporter_free(struct zone_reporter *reporter);
 void zone_reporter_set(struct zone_reporter *reporter, char *text);
-void zone_reporter_tick(struct zone_reporter *reporter, int64_t now_ms);
+void zone_reporter_tick(struct zone_reporter *reporter, bool is_active,
+			int64_t now_ms);
+bool zone_reporter_is_idle(const struct zone_reporter *reporter);
 
 #endif
