Split the gossip decision into clock, exchange and state

Change: gossip_clock decides what is due when, gossip_exchange handles the messages; behaviour is the same.

--- /dev/null
+++ b/core/src/gossip_clock.h
@@ -0,0 +1,36 @@
+#ifndef GOSSIP_CLOCK_H
+#define GOSSIP_CLOCK_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* What is due when: the moments of the last of each kind of event. */
+struct gossip_clock {
+	GRand *rand;
+	int64_t start_ms;
+	int64_t notice_ms;
+	int64_t news_ms;
+	int64_t digest_ms;
+	int64_t pull_ms;
+	int64_t report_ms;
+	int64_t read_ms;
+	int64_t heard_ms;
+	int64_t repair_ms;
+	bool has_started;
+};
+
+void gossip_clock_init(struct gossip_clock *clock, GRand *rand);
+bool gossip_clock_begin(struct gossip_clock *clock, int64_t now_ms);
+bool gossip_clock_may_notify(const struct gossip_clock *clock, int64_t now_ms);
+bool gossip_clock_may_pull(const struct gossip_clock *clock, int64_t now_ms);
+void gossip_clock_pull_done(struct gossip_clock *clock, int64_t now_ms);
+bool gossip_clock_may_repair(const struct gossip_clock *clock, int64_t now_ms);
+bool gossip_clock_is_report_due(const struct gossip_clock *clock,
+				int64_t now_ms);
+bool gossip_clock_is_digest_due(const struct gossip_clock *clock,
+				bool is_behind, int64_t now_ms);
+bool gossip_clock_is_read_due(const struct gossip_clock *clock, bool is_watcher,
+			      bool is_known, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/core/src/gossip_exchange.c
@@ -0,0 +1,161 @@
+#include "config_deltas.h"
+#include "gossip_state.h"
+
+/* Returns what this node holds. */
+const struct rules_document *gossip_document(const struct rules_gossip *gossip)
+{
+	return rules_replica_document(gossip->replica);
+}
+
+/* Returns the revision of what this node holds. */
+uint64_t gossip_revision(const struct rules_gossip *gossip)
+{
+	return rules_document_revision(gossip_document(gossip));
+}
+
+/* Makes a message that says what this node holds; the caller owns it. */
+struct config_message *gossip_message(const struct rules_gossip *gossip,
+				      enum config_kind kind)
+{
+	struct config_message *message = config_message_new(kind);
+
+	message->revision = gossip_revision(gossip);
+	message->digest = rules_document_digest(gossip_document(gossip));
+	message->held_count = rules_replica_held_count(gossip->replica);
+	message->is_known = gossip->is_known;
+	message->roster_epoch = gossip->roster.epoch;
+	return message;
+}
+
+static void send(struct rules_gossip *gossip, uint64_t node_id,
+		 struct config_message *message)
+{
+	gossip->options.send(gossip->options.context, node_id, message);
+}
+
+/* Tells a peer what this node holds. */
+void gossip_send_digest(struct rules_gossip *gossip, uint64_t node_id,
+			bool wants_reply)
+{
+	struct config_message *message = gossip_message(gossip, CONFIG_DIGEST);
+
+	message->wants_reply = wants_reply;
+	send(gossip, node_id, message);
+}
+
+static void pull(struct rules_gossip *gossip, uint64_t node_id, uint64_t since,
+		 int64_t now_ms)
+{
+	struct config_message *message;
+
+	if (!gossip_clock_may_pull(&gossip->clock, now_ms))
+		return;
+	gossip->clock.pull_ms = now_ms;
+	message = gossip_message(gossip, CONFIG_PULL);
+	message->since = since;
+	send(gossip, node_id, message);
+}
+
+/* Lines of equal revision that differ come from a store that went back. */
+static void compare(struct rules_gossip *gossip, uint64_t node_id,
+		    const struct config_message *message, int64_t now_ms)
+{
+	uint64_t revision = gossip_revision(gossip);
+	bool is_equal = message->digest ==
+			rules_document_digest(gossip_document(gossip));
+
+	gossip->known_revision = MAX(gossip->known_revision, message->revision);
+	if (message->revision > revision)
+		pull(gossip, node_id, revision, now_ms);
+	else if (message->revision == revision && !is_equal)
+		pull(gossip, node_id, 0, now_ms);
+	else if (message->revision == revision)
+		gossip_become_known(gossip);
+	if (message->roster_epoch > gossip->roster.epoch)
+		pull(gossip, node_id, revision, now_ms);
+	if (message->wants_reply &&
+	    (!is_equal || message->roster_epoch < gossip->roster.epoch))
+		gossip_send_digest(gossip, node_id, false);
+}
+
+static void take_digest(struct rules_gossip *gossip, uint64_t node_id,
+			const struct config_message *message, int64_t now_ms)
+{
+	if (gossip_reports_note(gossip->reports, node_id, message))
+		gossip->is_report_due = true;
+	if (message->is_known)
+		compare(gossip, node_id, message, now_ms);
+	else if (message->wants_reply && gossip->is_known)
+		gossip_send_digest(gossip, node_id, false);
+}
+
+static void send_roster(struct rules_gossip *gossip, uint64_t node_id)
+{
+	struct config_message *message = gossip_message(gossip, CONFIG_ROSTER);
+
+	message->roster = g_memdup2(&gossip->roster, sizeof(gossip->roster));
+	send(gossip, node_id, message);
+}
+
+/* Answers with all lines newer than asked for, and with a newer roster. */
+static void answer_pull(struct rules_gossip *gossip, uint64_t node_id,
+			const struct config_message *pull_message)
+{
+	GPtrArray *deltas =
+		config_deltas(gossip_document(gossip), pull_message->since);
+
+	for (guint i = 0; i < deltas->len; i++) {
+		struct config_message *delta = g_ptr_array_index(deltas, i);
+
+		delta->held_count = rules_replica_held_count(gossip->replica);
+		send(gossip, node_id, delta);
+	}
+	g_ptr_array_free(deltas, TRUE);
+	if (pull_message->roster_epoch < gossip->roster.epoch)
+		send_roster(gossip, node_id);
+}
+
+static void take_delta(struct rules_gossip *gossip,
+		       const struct config_message *message, int64_t now_ms)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < message->lines->len; i++) {
+		struct rules_line *line =
+			rules_line_copy(g_ptr_array_index(message->lines, i));
+
+		count += rules_replica_put(gossip->replica, line) ? 1 : 0;
+	}
+	if (count > 0)
+		gossip_take_news(gossip, now_ms);
+	if (message->digest != rules_document_digest(gossip_document(gossip)))
+		return;
+	gossip_clock_pull_done(&gossip->clock, now_ms);
+	gossip_become_known(gossip);
+}
+
+/* Takes a message from another node. */
+void rules_gossip_receive(struct rules_gossip *gossip, uint64_t node_id,
+			  const struct config_message *message, int64_t now_ms)
+{
+	if (message->is_known)
+		gossip->clock.heard_ms = now_ms;
+	switch (message->kind) {
+	case CONFIG_DIGEST:
+		take_digest(gossip, node_id, message, now_ms);
+		break;
+	case CONFIG_PULL:
+		if (gossip->is_known)
+			answer_pull(gossip, node_id, message);
+		break;
+	case CONFIG_DELTA:
+		if (message->is_known)
+			take_delta(gossip, message, now_ms);
+		break;
+	case CONFIG_ROSTER:
+		rules_gossip_take_roster(gossip, message->roster, now_ms);
+		break;
+	case CONFIG_KIND_COUNT:
+		break;
+	}
+}
