Tell a task with a full mailbox again, and split the configuration task

Cause: a target's state or a roster that found a mailbox full was lost for good, and config_task.c held platform clients, posting and gossip at once. Change: config_publisher repeats rules, states and the roster until they are taken; config_platform owns the clients. A VM that leaves, stays, is forgotten by the list or belongs to no target has a row each.

--- /dev/null
+++ b/daemon/src/config_platform.c
@@ -0,0 +1,164 @@
+#include "config_platform.h"
+
+#include "zone_reporter.h"
+
+#include <platform/vm_list_client.h>
+
+struct config_platform {
+	struct config_platform_options options;
+	char *rules_key;
+	struct kv_client *client;
+	struct config_store *store;
+	struct zone_reporter *reporter;
+	struct roster_keeper *keeper;
+	struct vm_list_client *vm_list;
+};
+
+static bool open_client(struct config_platform *platform, GError **error)
+{
+	const struct platform_settings *settings =
+		&platform->options.settings->platform;
+	struct kv_client_options options = {
+		.base = platform->options.base,
+		.server = settings->store,
+		.token_file = settings->token_file,
+		.timeout_ms = settings->timeout_ms,
+	};
+
+	platform->client = kv_client_new(&options, error);
+	return platform->client != NULL;
+}
+
+static void open_store(struct config_platform *platform)
+{
+	const char *prefix = platform->options.settings->platform.key_prefix;
+	struct config_store_options options = {
+		.client = platform->client,
+		.context = platform->options.context,
+		.on_document = platform->options.on_document,
+		.on_failed = platform->options.on_failed,
+	};
+
+	platform->rules_key = g_strdup_printf("%s/rules", prefix);
+	options.key = platform->rules_key;
+	platform->store = config_store_new(&options);
+}
+
+static void open_reporter(struct config_platform *platform)
+{
+	const struct settings *settings = platform->options.settings;
+	char *key = g_strdup_printf("%s/status/%s/%s",
+				    settings->platform.key_prefix,
+				    settings->region, settings->zone);
+
+	platform->reporter = zone_reporter_new(platform->client, key);
+	g_free(key);
+}
+
+static void open_keeper(struct config_platform *platform)
+{
+	const struct settings *settings = platform->options.settings;
+	const char *prefix = settings->platform.key_prefix;
+	char *key = g_strdup_printf("%s/roster/%s", prefix, settings->region);
+	char *lease_key =
+		g_strdup_printf("%s/roster-lease/%s", prefix, settings->region);
+	struct roster_keeper_options options = {
+		.client = platform->client,
+		.key = key,
+		.lease_key = lease_key,
+		.context = platform->options.context,
+		.on_roster = platform->options.on_roster,
+		.on_failed = platform->options.on_failed,
+	};
+
+	platform->keeper = roster_keeper_new(&options);
+	g_free(key);
+	g_free(lease_key);
+}
+
+static void open_vm_list(struct config_platform *platform)
+{
+	const struct platform_settings *settings =
+		&platform->options.settings->platform;
+	struct vm_list_client_options options = {
+		.base = platform->options.base,
+		.server = settings->vm_list,
+		.path = settings->vm_list_path,
+		.timeout_ms = settings->timeout_ms,
+		.context = platform->options.context,
+		.on_list = platform->options.on_vm_list,
+	};
+
+	if (settings->vm_list.port != 0)
+		platform->vm_list = vm_list_client_new(&options);
+}
+
+/*
+ * Opens the clients; nothing is read yet. The caller frees it with
+ * config_platform_free. Fails when the store's token cannot be read.
+ */
+struct config_platform *
+config_platform_new(const struct config_platform_options *options,
+		    GError **error)
+{
+	struct config_platform *platform = g_new0(struct config_platform, 1);
+
+	platform->options = *options;
+	if (!open_client(platform, error)) {
+		config_platform_free(platform);
+		return NULL;
+	}
+	open_store(platform);
+	open_reporter(platform);
+	open_keeper(platform);
+	open_vm_list(platform);
+	return platform;
+}
+
+/* Frees the clients and cancels their calls; NULL is allowed. */
+void config_platform_free(struct config_platform *platform)
+{
+	if (!platform)
+		return;
+	vm_list_client_free(platform->vm_list);
+	zone_reporter_free(platform->reporter);
+	roster_keeper_free(platform->keeper);
+	config_store_free(platform->store);
+	kv_client_free(platform->client);
+	g_free(platform->rules_key);
+	g_free(platform);
+}
+
+/* Returns the access to the rules. */
+struct config_store *config_platform_store(struct config_platform *platform)
+{
+	return platform->store;
+}
+
+/* Takes ownership of the zone's report, to be published. */
+void config_platform_report(struct config_platform *platform, char *text)
+{
+	zone_reporter_set(platform->reporter, text);
+}
+
+/* Does what is due for the zone's report and for the roster. */
+void config_platform_tick(struct config_platform *platform,
+			  const struct roster_keeper_view *roster_view,
+			  bool is_reporter, int64_t now_ms)
+{
+	zone_reporter_tick(platform->reporter, is_reporter, now_ms);
+	roster_keeper_tick(platform->keeper, roster_view, now_ms);
+}
+
+/* Reads the list of VMs, where there is one. */
+void config_platform_read_vms(struct config_platform *platform)
+{
+	if (platform->vm_list)
+		vm_list_client_read(platform->vm_list);
+}
+
+/* Returns how many calls the store has got. */
+uint64_t config_platform_call_count(const struct config_platform *platform)
+{
+	return kv_client_call_count(platform->client);
+}
--- /dev/null
+++ b/daemon/src/config_platform.h
@@ -0,0 +1,40 @@
+#ifndef CONFIG_PLATFORM_H
+#define CONFIG_PLATFORM_H
+
+#include "config_store.h"
+#include "roster_keeper.h"
+
+#include <daemon/settings.h>
+
+/*
+ * All that a node does with the platform's services: the rules, the roster
+ * and the zone's report in the store, and the list of VMs.
+ */
+struct config_platform;
+
+/* list is an array of struct vm, or NULL with an error. */
+struct config_platform_options {
+	struct event_base *base;
+	const struct settings *settings;
+	void *context;
+	void (*on_document)(void *context,
+			    const struct rules_document *document);
+	void (*on_failed)(void *context, const char *reason);
+	void (*on_roster)(void *context, const struct roster *roster);
+	void (*on_vm_list)(void *context, const GArray *list,
+			   const GError *error);
+};
+
+struct config_platform *
+config_platform_new(const struct config_platform_options *options,
+		    GError **error);
+void config_platform_free(struct config_platform *platform);
+struct config_store *config_platform_store(struct config_platform *platform);
+void config_platform_report(struct config_platform *platform, char *text);
+void config_platform_tick(struct config_platform *platform,
+			  const struct roster_keeper_view *roster_view,
+			  bool is_reporter, int64_t now_ms);
+void config_platform_read_vms(struct config_platform *platform);
+uint64_t config_platform_call_count(const struct config_platform *platform);
+
+#endif
--- a/daemon/src/config_task.c
+++ b/daemon/src/config_task.c
@@ -1,10 +1,9 @@
 #include <daemon/config_task.h>
 
 #include "config_counters.h"
-#include "config_store.h"
-#include "roster_keeper.h"
+#include "config_platform.h"
+#include "config_publisher.h"
 #include "target_watch.h"
-#include "zone_reporter.h"
 
 #include <core/node_feature.h>
 #include <core/rules_gossip.h>
@@ -12,12 +11,7 @@
 #include <daemon/control_message.h>
 #include <daemon/metrics_message.h>
 #include <daemon/nodes_message.h>
-#include <daemon/ready_message.h>
-#include <daemon/roster_message.h>
-#include <daemon/rules_message.h>
-#include <daemon/target_state_message.h>
 #include <inttypes.h>
-#include <platform/vm_list_client.h>
 #include <task/log.h>
 #include <task/timer.h>
 #include <unistd.h>
@@ -40,48 +34,14 @@
 	struct counter_set *counters;
 	struct timer *tick_timer;
 	struct timer *vm_timer;
-	char *rules_key;
-	struct kv_client *client;
-	struct config_store *store;
-	struct zone_reporter *reporter;
-	struct roster_keeper *keeper;
+	struct config_platform *platform;
 	struct node_view *nodes;
-	struct vm_list_client *vm_list;
 	struct target_watch *targets;
 	struct rules_gossip *gossip;
-	uint64_t publish_mask;
+	struct config_publisher *publisher;
 	int64_t start_ms;
-	bool is_ready_told;
 };
 
-static bool post_or_free(struct task *task, struct message *message)
-{
-	if (task_post(task, message) == POST_TAKEN)
-		return true;
-	message_free(message);
-	return false;
-}
-
-/* Tells the tasks that have not been told; a full one is told next time. */
-static void publish(struct config_task *config)
-{
-	const struct rule_set *rules =
-		rules_replica_rules(rules_gossip_replica(config->gossip));
-
-	for (uint32_t i = 0; i < config->options.work_task_count; i++) {
-		uint64_t bit = (uint64_t)1 << i;
-
-		if ((config->publish_mask & bit) &&
-		    post_or_free(config->options.work_tasks[i],
-				 rules_message_new(rules)))
-			config->publish_mask &= ~bit;
-	}
-	if (!config->is_ready_told && config->publish_mask == 0 &&
-	    rules_gossip_is_known(config->gossip))
-		config->is_ready_told = post_or_free(config->options.admin,
-						     ready_message_new(true));
-}
-
 static void on_changed(void *context, const struct rule_set *rules)
 {
 	struct config_task *config = context;
@@ -89,9 +49,7 @@
 	log_write(config->log, LOG_LEVEL_NOTICE, "rules",
 		  "revision=%" PRIu64 " rules=%u", rule_set_revision(rules),
 		  rule_set_count(rules));
-	config->publish_mask =
-		((uint64_t)1 << config->options.work_task_count) - 1;
-	publish(config);
+	config_publisher_set_rules(config->publisher, rules);
 	target_watch_set_rules(config->targets, rules);
 }
 
@@ -100,15 +58,11 @@
 {
 	struct config_task *config = context;
 	GByteArray *bytes = config_codec_encode(message, NULL);
-	bool is_sent = bytes && config->options.control;
+	bool is_sent =
+		bytes && config_publisher_control(
+				 config->publisher, node_id,
+				 config_codec_procedure(message->kind), bytes);
 
-	if (is_sent)
-		is_sent = post_or_free(
-			config->options.control,
-			control_message_new(
-				&control_out_type, node_id,
-				config_codec_procedure(message->kind),
-				bytes->data, bytes->len));
 	counter_set_add(
 		config->counters,
 		is_sent ? CONFIG_MESSAGES_SENT : CONFIG_MESSAGES_NOT_SENT, 1);
@@ -124,14 +78,14 @@
 {
 	struct config_task *config = context;
 
-	config_store_read(config->store);
+	config_store_read(config_platform_store(config->platform));
 }
 
 static void on_watch_store(void *context, bool is_wanted)
 {
 	struct config_task *config = context;
 
-	config_store_watch(config->store, is_wanted);
+	config_store_watch(config_platform_store(config->platform), is_wanted);
 }
 
 static void on_repair_store(void *context)
@@ -142,7 +96,7 @@
 		  "action=write_back");
 	counter_set_add(config->counters, CONFIG_STORE_REPAIRS, 1);
 	config_store_repair(
-		config->store,
+		config_platform_store(config->platform),
 		rules_replica_document(rules_gossip_replica(config->gossip)));
 }
 
@@ -151,7 +105,7 @@
 	struct config_task *config = context;
 	GArray *reports = rules_gossip_reports(config->gossip);
 
-	zone_reporter_set(config->reporter, config_report_encode(reports));
+	config_platform_report(config->platform, config_report_encode(reports));
 	g_array_free(reports, TRUE);
 }
 
@@ -160,7 +114,8 @@
 	struct config_task *config = context;
 
 	rules_gossip_take_store(config->gossip, document, task_now_ms());
-	publish(config);
+	config_publisher_retry(config->publisher,
+			       rules_gossip_is_known(config->gossip));
 }
 
 static void on_store_failed(void *context, const char *reason)
@@ -183,7 +138,7 @@
 			  "reason=\"%s\"", error->message);
 }
 
-static void on_target_state(void *context, uint64_t target_id,
+static bool on_target_state(void *context, uint64_t target_id,
 			    enum target_state state)
 {
 	struct config_task *config = context;
@@ -191,9 +146,7 @@
 	log_write(config->log, LOG_LEVEL_NOTICE, "target",
 		  "target=%016" PRIx64 " state=%s", target_id,
 		  target_state_name(state));
-	for (uint32_t i = 0; i < config->options.work_task_count; i++)
-		post_or_free(config->options.work_tasks[i],
-			     target_state_message_new(target_id, state));
+	return config_publisher_target(config->publisher, target_id, state);
 }
 
 static void on_roster_changed(void *context, const struct roster *roster)
@@ -203,9 +156,7 @@
 	log_write(config->log, LOG_LEVEL_NOTICE, "roster",
 		  "epoch=%" PRIu64 " members=%u", roster->epoch,
 		  roster->epochs[0].member_count);
-	if (config->options.claims)
-		post_or_free(config->options.claims,
-			     roster_message_new(roster));
+	config_publisher_roster(config->publisher, roster);
 }
 
 static void on_stored_roster(void *context, const struct roster *roster)
@@ -215,7 +166,7 @@
 	rules_gossip_take_roster(config->gossip, roster, task_now_ms());
 }
 
-static void tick_roster(struct config_task *config, int64_t now_ms)
+static void tick_platform(struct config_task *config, int64_t now_ms)
 {
 	struct roster_keeper_view view = {
 		.is_reader = rules_gossip_is_watcher(config->gossip),
@@ -226,7 +177,8 @@
 		.held = rules_gossip_roster(config->gossip),
 	};
 
-	roster_keeper_tick(config->keeper, &view, now_ms);
+	config_platform_tick(config->platform, &view,
+			     rules_gossip_is_reporter(config->gossip), now_ms);
 }
 
 static void on_tick(void *context)
@@ -235,94 +187,50 @@
 	int64_t now_ms = task_now_ms();
 
 	rules_gossip_tick(config->gossip, now_ms);
-	zone_reporter_tick(config->reporter,
-			   rules_gossip_is_reporter(config->gossip), now_ms);
-	tick_roster(config, now_ms);
-	publish(config);
+	tick_platform(config, now_ms);
+	config_publisher_retry(config->publisher,
+			       rules_gossip_is_known(config->gossip));
 }
 
 static void on_vm_timer(void *context)
 {
 	struct config_task *config = context;
 
-	vm_list_client_read(config->vm_list);
+	config_platform_read_vms(config->platform);
 }
 
-static bool open_store(struct config_task *config, struct task *task,
-		       GError **error)
+static bool open_platform(struct config_task *config, struct task *task,
+			  GError **error)
 {
-	const struct platform_settings *platform = &config->settings->platform;
-	struct kv_client_options client_options = {
+	struct config_platform_options options = {
 		.base = task_base(task),
-		.server = platform->store,
-		.token_file = platform->token_file,
-		.timeout_ms = platform->timeout_ms,
-	};
-	struct config_store_options store_options = {
+		.settings = config->settings,
 		.context = config,
 		.on_document = on_document,
 		.on_failed = on_store_failed,
+		.on_roster = on_stored_roster,
+		.on_vm_list = on_vm_list,
 	};
-	char *report_key = g_strdup_printf(
-		"%s/status/%s/%s", platform->key_prefix,
-		config->settings->region, config->settings->zone);
-
-	config->client = kv_client_new(&client_options, error);
-	if (config->client) {
-		config->rules_key =
-			g_strdup_printf("%s/rules", platform->key_prefix);
-		store_options.client = config->client;
-		store_options.key = config->rules_key;
-		config->store = config_store_new(&store_options);
-		config->reporter =
-			zone_reporter_new(config->client, report_key);
-	}
-	g_free(report_key);
-	return config->client != NULL;
+
+	config->platform = config_platform_new(&options, error);
+	return config->platform != NULL;
 }
 
-static void open_roster(struct config_task *config)
+static void open_parts(struct config_task *config)
 {
-	const struct settings *settings = config->settings;
-	char *key =
-		g_strdup_printf("%s/roster/%s", settings->platform.key_prefix,
-				settings->region);
-	char *lease_key = g_strdup_printf("%s/roster-lease/%s",
-					  settings->platform.key_prefix,
-					  settings->region);
-	struct roster_keeper_options options = {
-		.client = config->client,
-		.key = key,
-		.lease_key = lease_key,
-		.context = config,
-		.on_roster = on_stored_roster,
-		.on_failed = on_store_failed,
-	};
+	struct target_watch_options options = {.context = config,
+					       .on_state = on_target_state};
 
-	config->keeper = roster_keeper_new(&options);
-	g_free(key);
-	g_free(lease_key);
+	config->start_ms = task_now_ms();
+	config->publisher = config_publisher_new(&config->options);
+	config->targets = target_watch_new(&options);
 }
 
-static void open_vm_list(struct config_task *config, struct task *task)
+static void start_timers(struct config_task *config, struct task *task)
 {
-	const struct platform_settings *platform = &config->settings->platform;
-	struct target_watch_options watch_options = {
-		.context = config, .on_state = on_target_state};
-	struct vm_list_client_options options = {
-		.base = task_base(task),
-		.server = platform->vm_list,
-		.path = platform->vm_list_path,
-		.timeout_ms = platform->timeout_ms,
-		.context = config,
-		.on_list = on_vm_list,
-	};
-
-	config->targets = target_watch_new(&watch_options);
-	if (platform->vm_list.port == 0)
-		return;
-	config->vm_list = vm_list_client_new(&options);
+	config->tick_timer = timer_new(task, config, on_tick);
 	config->vm_timer = timer_new(task, config, on_vm_timer);
+	timer_every(config->tick_timer, TICK_MS);
 	timer_every(config->vm_timer, VM_LIST_INTERVAL_MS);
 }
 
@@ -365,16 +273,13 @@
 {
 	struct config_task *config = context;
 
-	if (!open_store(config, task, error))
+	if (!open_platform(config, task, error))
 		return false;
-	config->start_ms = task_now_ms();
-	open_roster(config);
-	open_vm_list(config, task);
+	open_parts(config);
 	start_gossip(config);
 	if (!config->options.control)
 		see_self(config);
-	config->tick_timer = timer_new(task, config, on_tick);
-	timer_every(config->tick_timer, TICK_MS);
+	start_timers(config, task);
 	return true;
 }
 
@@ -394,7 +299,8 @@
 	rules_gossip_receive(config->gossip, control->node_id, message,
 			     task_now_ms());
 	config_message_free(message);
-	publish(config);
+	config_publisher_retry(config->publisher,
+			       rules_gossip_is_known(config->gossip));
 }
 
 static void take_nodes(struct config_task *config, struct message *message)
@@ -419,7 +325,7 @@
 	counter_set_assign(config->counters, CONFIG_LINES_HELD,
 			   rules_replica_held_count(replica));
 	counter_set_assign(config->counters, CONFIG_STORE_CALLS,
-			   kv_client_call_count(config->client));
+			   config_platform_call_count(config->platform));
 	metrics_request_answer(message, config->counters);
 }
 
@@ -443,14 +349,10 @@
 	timer_free(config->tick_timer);
 	timer_free(config->vm_timer);
 	rules_gossip_free(config->gossip);
-	vm_list_client_free(config->vm_list);
+	config_publisher_free(config->publisher);
 	target_watch_free(config->targets);
-	zone_reporter_free(config->reporter);
-	roster_keeper_free(config->keeper);
 	node_view_free(config->nodes);
-	config_store_free(config->store);
-	kv_client_free(config->client);
-	g_free(config->rules_key);
+	config_platform_free(config->platform);
 }
 
 /*
--- a/daemon/src/target_watch.c
+++ b/daemon/src/target_watch.c
@@ -48,12 +48,6 @@
 	g_free(watch);
 }
 
-static void post(struct target_watch *watch, uint64_t target_id,
-		 enum target_state state)
-{
-	watch->options.on_state(watch->options.context, target_id, state);
-}
-
 /* Tells of a target whose state is another than was told last. */
 static void update_target(struct target_watch *watch,
 			  const struct target *target)
@@ -63,7 +57,10 @@
 	bool was_leaving =
 		g_hash_table_contains(watch->posted, &target->target_id);
 
-	if (is_leaving == was_leaving)
+	if (is_leaving == was_leaving ||
+	    !watch->options.on_state(watch->options.context, target->target_id,
+				     is_leaving ? TARGET_LEAVING
+						: TARGET_SERVING))
 		return;
 	if (is_leaving)
 		g_hash_table_add(watch->posted,
@@ -71,8 +68,6 @@
 					   sizeof(target->target_id)));
 	else
 		g_hash_table_remove(watch->posted, &target->target_id);
-	post(watch, target->target_id,
-	     is_leaving ? TARGET_LEAVING : TARGET_SERVING);
 }
 
 static void update(struct target_watch *watch)
--- a/daemon/src/target_watch.h
+++ b/daemon/src/target_watch.h
@@ -7,13 +7,14 @@
 /*
  * Turns the platform's list of VMs into states of targets: a target whose VM
  * is leaving leaves. A VM that the list does not have says nothing, since the
- * list lags.
+ * list lags. on_state returns false when it could not tell; it is asked again
+ * with the next list.
  */
 struct target_watch;
 
 struct target_watch_options {
 	void *context;
-	void (*on_state)(void *context, uint64_t target_id,
+	bool (*on_state)(void *context, uint64_t target_id,
 			 enum target_state state);
 };
 
--- /dev/null
+++ b/daemon/test/target_watch_test.c
@@ -0,0 +1,132 @@
+#include "target_watch.h"
+
+#include <core/rule.h>
+#include <fakes/test_main.h>
+#include <string.h>
+#include <wire/vm_list.h>
+
+#define STEP_MAX 5
+#define RULE "desk address=10.0.0.1:80 pool=10.1.0.1:80,10.1.0.2:80 # Lin"
+
+enum action {
+	ACTION_END,
+	ACTION_LIST,
+	ACTION_RULES,
+	ACTION_REFUSE,
+};
+
+/* A list, new rules or a full mailbox, and what was told in answer. */
+struct step {
+	enum action action;
+	const char *list;
+	const char *told;
+};
+
+static const struct {
+	const char *name;
+	struct step steps[STEP_MAX];
+} rows[] = {
+	{"leaving-vm",
+	 {{ACTION_LIST, "10.1.0.1 leaving", "leaving "},
+	  {ACTION_LIST, "10.1.0.1 leaving", ""}}},
+	{"vm-that-stays-after-all",
+	 {{ACTION_LIST, "10.1.0.1 leaving", "leaving "},
+	  {ACTION_LIST, "10.1.0.1 live", "serving "}}},
+	{"vm-the-list-has-forgotten",
+	 {{ACTION_LIST, "10.1.0.1 leaving", "leaving "},
+	  {ACTION_LIST, "", ""}}},
+	{"vm-of-no-target", {{ACTION_LIST, "10.9.9.9 leaving", ""}}},
+	{"new-rules-while-leaving",
+	 {{ACTION_LIST, "10.1.0.2 leaving", "leaving "},
+	  {ACTION_RULES, NULL, "leaving "}}},
+	{"full-mailbox-is-told-again",
+	 {{ACTION_REFUSE, NULL, ""},
+	  {ACTION_LIST, "10.1.0.1 leaving", "refused "},
+	  {ACTION_LIST, "10.1.0.1 leaving", "leaving "}}},
+};
+
+struct told {
+	GString *text;
+	bool is_refusing;
+};
+
+static bool on_state(void *context, uint64_t target_id, enum target_state state)
+{
+	struct told *told = context;
+	bool is_taken = !told->is_refusing;
+
+	g_string_append_printf(told->text, "%s ",
+			       is_taken ? target_state_name(state) : "refused");
+	told->is_refusing = false;
+	return is_taken;
+}
+
+static GArray *read_list(const char *text)
+{
+	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct vm));
+	char **words = g_strsplit(text, " ", -1);
+	struct vm vm = {.zone_id = 1};
+
+	if (words[0] && words[1]) {
+		ck_assert(ip_addr_parse(&vm.addr, words[0]));
+		vm.is_leaving = strcmp(words[1], "leaving") == 0;
+		g_array_append_val(list, vm);
+	}
+	g_strfreev(words);
+	return list;
+}
+
+static void set_rules(struct target_watch *watch)
+{
+	struct rule_set *rules = rule_set_new(1);
+
+	rule_set_add(rules, rule_parse(RULE, NULL));
+	target_watch_set_rules(watch, rules);
+	rule_set_free(rules);
+}
+
+static void run(struct target_watch *watch, struct told *told,
+		const struct step *step, const char *name)
+{
+	g_string_truncate(told->text, 0);
+	if (step->action == ACTION_REFUSE)
+		told->is_refusing = true;
+	if (step->action == ACTION_RULES)
+		set_rules(watch);
+	if (step->action == ACTION_LIST) {
+		GArray *list = read_list(step->list);
+
+		target_watch_take_list(watch, list);
+		g_array_free(list, TRUE);
+	}
+	if (step->action != ACTION_END)
+		ck_assert_msg(strcmp(told->text->str, step->told) == 0,
+			      "%s: %s", name, told->text->str);
+}
+
+START_TEST(test_watch)
+{
+	struct told told = {.text = g_string_new(NULL)};
+	struct target_watch_options options = {.context = &told,
+					       .on_state = on_state};
+	struct target_watch *watch = target_watch_new(&options);
+
+	test_row("target_watch", rows[_i].name);
+	set_rules(watch);
+	for (int i = 0; i < STEP_MAX; i++)
+		run(watch, &told, &rows[_i].steps[i], rows[_i].name);
+	target_watch_free(watch);
+	g_string_free(told.text, TRUE);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("target_watch");
+	TCase *tcase = tcase_create("watch");
+
+	tcase_add_loop_test(tcase, test_watch, 0,
+			    sizeof(rows) / sizeof(rows[0]));
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
