Let the load test's target say that it closes

Cause: 1 of 6 to 2 of 6 runs of ctl/load_test counted 38 to 41 whole answers of 42 sent: the scripted target closes behind each answer without saying so, and the load sent the next request into a closing connection. Ruled out: the load's counting, since sent and ended agree.

Change: the rows' answers carry Connection: close.

Conclusion: the assertion stands as it was.

--- a/ctl/test/load_test.c
+++ b/ctl/test/load_test.c
@@ -102,6 +102,12 @@
 }
 END_TEST
 
+/*
+ * The target closes behind each answer and says so; a caller that did not know
+ * could send its next request into a closing connection.
+ */
+#define CLOSING "Connection: close\r\n"
+
 /* What a target answers, and how the load counts it. */
 static const struct {
 	const char *name;
@@ -109,22 +115,22 @@
 	bool is_echo_checked;
 	enum load_outcome outcome;
 } outcome_rows[] = {
-	{"whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false,
-	 LOAD_WHOLE},
-	{"wrong", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true,
-	 LOAD_WRONG},
+	{"whole", "HTTP/1.1 200 OK\r\n" CLOSING "Content-Length: 2\r\n\r\nok",
+	 false, LOAD_WHOLE},
+	{"wrong", "HTTP/1.1 200 OK\r\n" CLOSING "Content-Length: 2\r\n\r\nok",
+	 true, LOAD_WRONG},
 	{"not-run",
-	 "HTTP/1.1 503 x\r\nShallot-Outcome: not-run\r\n"
+	 "HTTP/1.1 503 x\r\n" CLOSING "Shallot-Outcome: not-run\r\n"
 	 "Content-Length: 0\r\n\r\n",
 	 false, LOAD_NOT_RUN},
 	{"unknown",
-	 "HTTP/1.1 504 x\r\nShallot-Outcome: unknown\r\n"
+	 "HTTP/1.1 504 x\r\n" CLOSING "Shallot-Outcome: unknown\r\n"
 	 "Content-Length: 0\r\n\r\n",
 	 false, LOAD_UNKNOWN},
-	{"rejected", "HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n", false,
-	 LOAD_REJECTED},
-	{"cut", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", false,
-	 LOAD_BROKEN},
+	{"rejected", "HTTP/1.1 421 x\r\n" CLOSING "Content-Length: 0\r\n\r\n",
+	 false, LOAD_REJECTED},
+	{"cut", "HTTP/1.1 200 OK\r\n" CLOSING "Content-Length: 9\r\n\r\nok",
+	 false, LOAD_BROKEN},
 };
 
 START_TEST(test_outcome)
