Stop every task of a node before any is freed

An admin task that was freed first could still be answered by tasks that held its requests, and a configuration that became known in a drain made the node ready again.

All tasks stop first, then all are freed.

--- a/daemon/src/admin_task.c
+++ b/daemon/src/admin_task.c
@@ -1,6 +1,7 @@
 #include <daemon/admin_task.h>
 
 #include <daemon/daemon_error.h>
+#include <daemon/drain_message.h>
 #include <daemon/metrics_message.h>
 #include <daemon/ready_message.h>
 #include <event2/buffer.h>
@@ -29,6 +30,7 @@
 	GHashTable *collections;
 	uint64_t next_request_id;
 	bool is_ready;
+	bool is_draining;
 };
 
 static void reply_text(struct evhttp_request *request, int status,
@@ -118,7 +120,7 @@
 {
 	const struct admin_task *admin = context;
 
-	if (admin->is_ready)
+	if (admin->is_ready && !admin->is_draining)
 		reply_text(request, STATUS_OK, "ready\n");
 	else
 		reply_text(request, STATUS_UNAVAILABLE, "not ready\n");
@@ -146,6 +148,17 @@
 	return false;
 }
 
+/* From here on the node is not ready, whatever other tasks say. */
+static void on_drain(struct admin_task *admin, struct message *message)
+{
+	const struct drain_message *drain = (struct drain_message *)message;
+	struct message *drained = drained_message_new(admin->task);
+
+	admin->is_draining = true;
+	if (task_post(drain->reply_to, drained) != POST_TAKEN)
+		message_free(drained);
+}
+
 static void handle(void *context, struct message *message)
 {
 	struct admin_task *admin = context;
@@ -154,6 +167,8 @@
 		on_metrics_reply(admin, message);
 	else if (message->type == &ready_message_type)
 		admin->is_ready = ((struct ready_message *)message)->is_ready;
+	else if (message->type == &drain_message_type)
+		on_drain(admin, message);
 	message_free(message);
 }
 
--- a/daemon/src/shallotd.c
+++ b/daemon/src/shallotd.c
@@ -16,6 +16,9 @@
 /* The work tasks, and the configuration task where there is a store. */
 #define SOURCE_COUNT_MAX (WORK_TASK_COUNT + 1)
 
+/* The admin task says not ready; the work tasks finish or hand over. */
+#define DRAIN_TASK_COUNT (WORK_TASK_COUNT + 1)
+
 struct shallotd {
 	const struct settings *settings;
 	struct packet_task *packets;
@@ -25,6 +28,7 @@
 	struct config_task *config;
 	struct task *work_tasks[WORK_TASK_COUNT];
 	struct task *sources[SOURCE_COUNT_MAX];
+	struct task *drain_tasks[DRAIN_TASK_COUNT];
 };
 
 /* A node without a store takes its rules from a file. */
@@ -42,7 +46,10 @@
 	};
 
 	daemon->admin = admin_task_new(&options, error);
-	return daemon->admin != NULL;
+	if (!daemon->admin)
+		return false;
+	daemon->drain_tasks[WORK_TASK_COUNT] = admin_task_task(daemon->admin);
+	return true;
 }
 
 /* The id is drawn at start, so that a restarted node is a new one. */
@@ -86,8 +93,10 @@
 		return false;
 	daemon->work_tasks[0] = packet_task_task(daemon->packets);
 	daemon->work_tasks[1] = request_task_task(daemon->requests);
-	for (uint32_t i = 0; i < WORK_TASK_COUNT; i++)
+	for (uint32_t i = 0; i < WORK_TASK_COUNT; i++) {
 		daemon->sources[i] = daemon->work_tasks[i];
+		daemon->drain_tasks[i] = daemon->work_tasks[i];
+	}
 	return make_admin(daemon, error) && make_config(daemon, error);
 }
 
@@ -141,14 +150,25 @@
 	return NULL;
 }
 
+/* Tasks post to each other, so none is freed before all have stopped. */
+static void stop_tasks(struct shallotd *daemon)
+{
+	if (daemon->config)
+		task_stop(config_task_task(daemon->config));
+	for (uint32_t i = 0; i < WORK_TASK_COUNT; i++) {
+		if (daemon->work_tasks[i])
+			task_stop(daemon->work_tasks[i]);
+	}
+	if (daemon->admin)
+		task_stop(admin_task_task(daemon->admin));
+}
+
 /* Stops the tasks and frees the node; NULL is allowed. */
 void shallotd_free(struct shallotd *daemon)
 {
 	if (!daemon)
 		return;
-	/* Tasks post to each other, so the last reader is freed last. */
-	if (daemon->config)
-		task_stop(config_task_task(daemon->config));
+	stop_tasks(daemon);
 	admin_task_free(daemon->admin);
 	config_task_free(daemon->config);
 	request_task_free(daemon->requests);
@@ -166,14 +186,13 @@
 		    GError **error)
 {
 	struct drain_task_options drain_options = {
-		.tasks = daemon->work_tasks,
-		.task_count = WORK_TASK_COUNT,
+		.tasks = daemon->drain_tasks,
+		.task_count = DRAIN_TASK_COUNT,
 		.timeout_ms = daemon->settings->drain_timeout_ms,
 		.context = options->context,
 		.done = options->done,
 	};
 
-	post_or_free(admin_task_task(daemon->admin), ready_message_new(false));
 	daemon->drain = drain_task_new(&drain_options, error);
 	return daemon->drain != NULL;
 }
