Keep flows through a rolling replacement of all nodes

Cause: with a node joining while another left, a new flow could be opened by a node that was home in one stale view only, and its record came too late.

Change: a packet that has used its hops is dropped where this node is neither home nor asked by the new home, so that the caller's next try takes a shorter way; a home that gives a slot away goes on opening flows until it announces the handover, sends pools and barred targets first, and keeps a receiver that has taken the slot already.

Ruled out: handing the slots of a leaving node to a joining one directly, as the nodes between would have no one to ask.

--- a/core/src/flow_director.c
+++ b/core/src/flow_director.c
@@ -43,6 +43,8 @@
 	director->table = flow_table_new(options->flow_capacity);
 	director->book = target_book_new();
 	director->histories = g_hash_table_new(g_direct_hash, g_direct_equal);
+	director->prepared = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						   g_free, g_free);
 	director->outbox = make_outbox(director);
 	director->slots = g_new0(struct director_slot, HOME_SLOT_COUNT);
 	for (uint32_t i = 0; i < HOME_SLOT_COUNT; i++)
@@ -59,6 +61,7 @@
 		return;
 	free_histories(director);
 	flow_outbox_free(director->outbox);
+	g_hash_table_destroy(director->prepared);
 	flow_table_free(director->table);
 	target_book_free(director->book);
 	rule_set_free(director->rules);
@@ -303,6 +306,8 @@
 	for (uint32_t i = 0; i < HOME_SLOT_COUNT; i++) {
 		struct director_slot *slot = &director->slots[i];
 
+		if (slot->given_to != NODE_NONE)
+			continue;
 		slot->epoch = slot->epoch == UINT8_MAX ? 1 : slot->epoch + 1;
 	}
 	flow_director_start_pass(director);
--- a/core/src/flow_director_state.h
+++ b/core/src/flow_director_state.h
@@ -47,6 +47,8 @@
 	struct flow_table *table;
 	struct target_book *book;
 	GHashTable *histories;
+	/* Of nodes: the revision, plus one, whose pools they were sent. */
+	GHashTable *prepared;
 	struct flow_outbox *outbox;
 	struct director_slot *slots;
 	/* The part of all slots whose home is here, for bounds per node. */
--- a/core/src/flow_homes.c
+++ b/core/src/flow_homes.c
@@ -69,7 +69,7 @@
 			      const struct slot_homes *new)
 {
 	return self == NODE_JOINING && old && old->home != new->home &&
-	       slot->learned_from != new->home;
+	       slot->learned_from == NODE_NONE;
 }
 
 static void learn(struct flow_director *director, struct director_slot *slot,
@@ -112,6 +112,10 @@
 
 	if (new->home == self_id)
 		return new->next_home == self_id ? NODE_NONE : new->next_home;
+	/* It has all records and will be home soon, whoever is until then. */
+	if (slot->handover == HANDOVER_TAKEN &&
+	    slot->given_to == new->next_home)
+		return slot->given_to;
 	return was_mine || is_heir ? new->home : NODE_NONE;
 }
 
@@ -229,6 +233,7 @@
 		change_slot(director, (uint16_t)i, &change);
 	follow_self_state(director);
 	forget_dead(director, old_view);
+	g_hash_table_remove_all(director->prepared);
 	flow_director_start_pass(director);
 	g_array_free(change.returned, TRUE);
 	node_view_free(old_view);
--- a/core/src/flow_packet.c
+++ b/core/src/flow_packet.c
@@ -136,7 +136,8 @@
 	if (director->is_leaving || director->is_out)
 		return false;
 	if (packet->homes->home == director->self_id)
-		return packet->slot->given_to == NODE_NONE;
+		return packet->slot->handover == HANDOVER_NONE ||
+		       packet->slot->handover == HANDOVER_RUNNING;
 	/* Whoever sends it here sees this node as the home already. */
 	return packet->event->hop_count > 0 &&
 	       packet->homes->next_home == director->self_id;
@@ -221,6 +222,9 @@
 		return drop(REASON_TABLE_FULL,
 			    packet->rule->service.service_id);
 	flow_director_count(director, record, target_index);
+	/* Views differ, or the slot moves: its home must know at once. */
+	if (!is_my_slot(director, packet))
+		flow_director_mirror(director, record, packet->now_ms);
 	return to_target(director, packet, target_index, reason);
 }
 
@@ -271,6 +275,17 @@
 	       is_my_slot(director, packet);
 }
 
+/*
+ * The new home asks the former one, or its mirror, about a flow that it does
+ * not know: what is not known here either follows the default.
+ */
+static bool is_last_word(const struct packet_case *packet)
+{
+	return !is_opening(packet->event) &&
+	       packet->event->from_node_id == packet->slot->given_to &&
+	       packet->slot->pending_from == NODE_NONE;
+}
+
 static struct placement decide(struct flow_director *director,
 			       const struct packet_case *packet)
 {
@@ -280,6 +295,10 @@
 
 	if (!history || history->pool_count == 0)
 		return drop(REASON_NO_TARGET, service_id);
+	/* Views differ; the caller's next try may take a shorter way. */
+	if (packet->event->hop_count >= HOP_LIMIT &&
+	    !is_my_slot(director, packet) && !is_last_word(packet))
+		return drop(REASON_HOP_LIMIT, service_id);
 	if (is_opening(packet->event) ||
 	    is_new_datagram(director, packet, history))
 		return open_flow(director, packet, history);
--- a/core/src/flow_sweep.c
+++ b/core/src/flow_sweep.c
@@ -86,9 +86,9 @@
 	const struct slot_homes *homes = home_map_at(director->homes, number);
 
 	*kind = FLOW_HANDOVER;
-	if (slot->given_to != NODE_NONE && slot->handover != HANDOVER_TAKEN)
+	if (slot->given_to != NODE_NONE)
 		return slot->given_to;
-	if (record->is_mirror || slot->handover == HANDOVER_TAKEN)
+	if (record->is_mirror)
 		return NODE_NONE;
 	if (homes->home != director->self_id)
 		return homes->home;
@@ -283,12 +283,33 @@
 	flow_outbox_post(director->outbox, to_node_id, &done);
 }
 
+/*
+ * Sends what a node must know before it takes slots over. Returns false when
+ * it knows, so that the slots can be announced.
+ */
+static bool prepare(struct flow_director *director, uint64_t to_node_id,
+		    int64_t now_ms)
+{
+	uint64_t *prepared =
+		g_hash_table_lookup(director->prepared, &to_node_id);
+
+	if (prepared && *prepared == director->revision + 1)
+		return false;
+	g_hash_table_insert(director->prepared,
+			    g_memdup2(&to_node_id, sizeof(to_node_id)),
+			    g_memdup2(&(uint64_t){director->revision + 1},
+				      sizeof(uint64_t)));
+	post_targets(director, to_node_id);
+	post_pools(director, to_node_id, now_ms);
+	return !flow_outbox_is_idle(director->outbox, to_node_id);
+}
+
 /* Announces all slots that go to one node, in as few messages as it takes. */
 static void announce(struct flow_director *director, uint64_t to_node_id,
 		     int64_t now_ms)
 {
-	post_targets(director, to_node_id);
-	post_pools(director, to_node_id, now_ms);
+	if (prepare(director, to_node_id, now_ms))
+		return;
 	for (uint32_t i = 0; i < HOME_SLOT_COUNT; i++) {
 		struct director_slot *slot = &director->slots[i];
 
--- a/fakes/include/fakes/flow_fleet.h
+++ b/fakes/include/fakes/flow_fleet.h
@@ -26,8 +26,8 @@
 	uint32_t spread_ms;
 	uint64_t seed;
 	struct driver_link link;
-	/* Every second node speaks a later version of the messages. */
-	bool has_versions;
+	/* The baseline: every node places each packet by hash alone. */
+	bool is_hash_only;
 };
 
 /* What was counted since the start. */
@@ -52,6 +52,7 @@
 
 void flow_fleet_pool(struct flow_fleet *fleet, uint32_t first, uint32_t count,
 		     uint32_t weight_of_first);
+void flow_fleet_set_form(struct flow_fleet *fleet, uint32_t form);
 void flow_fleet_move_target(struct flow_fleet *fleet, uint32_t from_number);
 void flow_fleet_publish(struct flow_fleet *fleet);
 void flow_fleet_set_spread(struct flow_fleet *fleet, uint32_t spread_ms);
@@ -59,6 +60,10 @@
 		       enum target_state state);
 void flow_fleet_join(struct flow_fleet *fleet, uint32_t node);
 void flow_fleet_leave(struct flow_fleet *fleet, uint32_t node);
+void flow_fleet_replace_all(struct flow_fleet *fleet);
+bool flow_fleet_is_replacing(const struct flow_fleet *fleet);
+uint32_t flow_fleet_next_spare(struct flow_fleet *fleet);
+uint32_t flow_fleet_target_count(const struct flow_fleet *fleet);
 bool flow_fleet_is_serving(const struct flow_fleet *fleet, uint32_t node);
 bool flow_fleet_is_stopped(const struct flow_fleet *fleet, uint32_t node);
 void flow_fleet_kill(struct flow_fleet *fleet, uint32_t node);
@@ -67,5 +72,6 @@
 double flow_fleet_imbalance(const struct flow_fleet *fleet);
 uint32_t flow_fleet_flow_count(const struct flow_fleet *fleet);
 double flow_fleet_control_bytes_per_s(const struct flow_fleet *fleet);
+uint64_t flow_fleet_control_bytes(const struct flow_fleet *fleet);
 
 #endif
--- a/fakes/src/flow_fleet.c
+++ b/fakes/src/flow_fleet.c
@@ -106,8 +106,11 @@
 		node->view_version = news->version;
 		flow_director_set_nodes(node->director, news->view, now_ms);
 	}
-	if (is_live && news->rules)
+	if (is_live && news->rules) {
 		flow_director_set_rules(node->director, news->rules, now_ms);
+		rule_set_free(node->rules);
+		node->rules = g_steal_pointer(&news->rules);
+	}
 	if (is_live && news->target_id != TARGET_NONE)
 		flow_director_set_target_state(node->director, news->target_id,
 					       news->target_state, now_ms);
@@ -216,6 +219,7 @@
 		  SERVICE_NAME_BYTES);
 	rule->service.service_id = service_id_from_name(service_names[service]);
 	rule->generation = fleet->generations[service];
+	rule->form = fleet->form;
 	rule->address_count = 1;
 	rule->addresses = g_new0(struct endpoint, 1);
 	rule->addresses[0] = fleet_service_address(service);
@@ -260,6 +264,18 @@
 	fleet->weight_of_first = weight_of_first;
 }
 
+/* Writes the rules in another form from the next publication on. */
+void flow_fleet_set_form(struct flow_fleet *fleet, uint32_t form)
+{
+	fleet->form = form;
+}
+
+/* Returns the number of targets of the first service at the start. */
+uint32_t flow_fleet_target_count(const struct flow_fleet *fleet)
+{
+	return fleet->options.target_count;
+}
+
 /* Gives the address of a target of the first service to the second one. */
 void flow_fleet_move_target(struct flow_fleet *fleet, uint32_t from_number)
 {
@@ -397,6 +413,7 @@
 			if (fleet->step_ms % MS_PER_S == 0)
 				measure_bytes(fleet, node);
 		}
+		fleet_replace_step(fleet);
 		fleet_traffic_step(fleet);
 	}
 }
@@ -411,6 +428,19 @@
 	return peak;
 }
 
+/* Returns the bytes that all nodes have sent. */
+uint64_t flow_fleet_control_bytes(const struct flow_fleet *fleet)
+{
+	uint64_t bytes = 0;
+
+	for (uint32_t i = 0; i < fleet->node_count; i++) {
+		if (fleet->nodes[i].director)
+			bytes += flow_director_sent_bytes(
+				fleet->nodes[i].director);
+	}
+	return bytes;
+}
+
 /* Returns max/mean of the flows by weight over the first service's pool. */
 double flow_fleet_imbalance(const struct flow_fleet *fleet)
 {
@@ -514,6 +544,8 @@
 	fleet->nodes = g_new0(struct fleet_node, fleet->node_count);
 	fleet->truth = g_new0(struct node, fleet->node_count);
 	fleet->moved_number = TARGET_NUMBERS;
+	fleet->form = RULE_FORM_FIRST;
+	fleet->next_spare = options->node_count;
 	fleet->driver = make_driver(fleet);
 	name_parts(fleet);
 	fleet_traffic_init(fleet);
@@ -531,8 +563,10 @@
 		fleet->nodes[i].is_running = false;
 	driver_run_until(fleet->driver, fleet->step_ms + 3600 * MS_PER_S);
 	driver_free(fleet->driver);
-	for (uint32_t i = 0; i < fleet->node_count; i++)
+	for (uint32_t i = 0; i < fleet->node_count; i++) {
 		flow_director_free(fleet->nodes[i].director);
+		rule_set_free(fleet->nodes[i].rules);
+	}
 	fleet_traffic_free(fleet);
 	g_free(fleet->nodes);
 	g_free(fleet->truth);
--- a/fakes/src/flow_fleet_state.h
+++ b/fakes/src/flow_fleet_state.h
@@ -29,6 +29,8 @@
 	struct flow_fleet *fleet;
 	uint32_t index;
 	struct flow_director *director;
+	/* What the hash-only baseline goes by. */
+	struct rule_set *rules;
 	uint64_t view_version;
 	bool is_running;
 	bool is_sprayed;
@@ -51,6 +53,12 @@
 	uint32_t pool_first;
 	uint32_t pool_count;
 	uint32_t weight_of_first;
+	uint32_t form;
+	uint32_t next_spare;
+	/* Of a rolling replacement: the node to go, and who comes for it. */
+	bool is_replacing;
+	uint32_t replaced;
+	uint32_t successor;
 	uint32_t moved_number;
 	/* Service of each target number as published last, plus one. */
 	uint8_t owners[TARGET_NUMBERS];
@@ -74,6 +82,7 @@
 void fleet_traffic_step(struct flow_fleet *fleet);
 void fleet_traffic_init(struct flow_fleet *fleet);
 void fleet_traffic_free(struct flow_fleet *fleet);
+void fleet_replace_step(struct flow_fleet *fleet);
 void fleet_spread_views(struct flow_fleet *fleet);
 void *fleet_copy_message(const void *message);
 
--- a/fakes/src/flow_fleet_traffic.c
+++ b/fakes/src/flow_fleet_traffic.c
@@ -1,6 +1,6 @@
 #include "flow_fleet_state.h"
 
-#include <core/flow_message.h>
+#include <core/target_rank.h>
 #include <netinet/in.h>
 
 #define MS_PER_S 1000
@@ -113,6 +113,26 @@
 	return (uint32_t)(node_id - 1);
 }
 
+/* The baseline keeps nothing, so every packet is placed afresh. */
+static struct placement route_by_hash(struct flow_fleet *fleet,
+				      const struct fleet_flow *flow,
+				      uint32_t node)
+{
+	struct packet_event event = make_event(flow);
+	const struct rule *rule = rule_set_by_address(fleet->nodes[node].rules,
+						      &event.key.service);
+	const struct target *target =
+		target_rank_first(rule->targets, rule->target_count,
+				  flow_key_print(&event.key, 0));
+
+	return (struct placement){
+		.kind = PLACE_TO_TARGET,
+		.reason = REASON_TABLE_DEFAULT,
+		.target_id = target->target_id,
+		.endpoint = target->endpoint,
+	};
+}
+
 /* Follows a packet from node to node until one places or drops it. */
 static struct placement route(struct flow_fleet *fleet,
 			      const struct fleet_flow *flow, uint32_t *at_node)
@@ -125,9 +145,11 @@
 		if (!fleet->nodes[node].is_running ||
 		    fleet->nodes[node].is_paused)
 			return (struct placement){.kind = PLACE_DROP};
+		*at_node = node;
+		if (fleet->options.is_hash_only)
+			return route_by_hash(fleet, flow, node);
 		placement = flow_director_packet(fleet->nodes[node].director,
 						 &event, fleet->step_ms);
-		*at_node = node;
 		if (placement.kind != PLACE_TO_NODE)
 			return placement;
 		fleet->counts.forward_count++;
