Let the load test's target keep its connections

Rows of the load test failed now and then under the address sanitizer: the stand-in closed a connection behind its answer without saying so, and the next request met the closed connection, which the load counts as broken.

--- a/ctl/test/load_test.c
+++ b/ctl/test/load_test.c
@@ -106,32 +106,33 @@
 static const struct {
 	const char *name;
 	const char *answer;
+	enum script_action last;
 	bool is_echo_checked;
 	enum load_outcome outcome;
 } outcome_rows[] = {
-	{"whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false,
-	 LOAD_WHOLE},
-	{"wrong", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true,
-	 LOAD_WRONG},
+	{"whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", SCRIPT_KEEP,
+	 false, LOAD_WHOLE},
+	{"wrong", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", SCRIPT_KEEP,
+	 true, LOAD_WRONG},
 	{"not-run",
 	 "HTTP/1.1 503 x\r\nShallot-Outcome: not-run\r\n"
 	 "Content-Length: 0\r\n\r\n",
-	 false, LOAD_NOT_RUN},
+	 SCRIPT_KEEP, false, LOAD_NOT_RUN},
 	{"unknown",
 	 "HTTP/1.1 504 x\r\nShallot-Outcome: unknown\r\n"
 	 "Content-Length: 0\r\n\r\n",
-	 false, LOAD_UNKNOWN},
-	{"rejected", "HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n", false,
-	 LOAD_REJECTED},
-	{"cut", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", false,
-	 LOAD_BROKEN},
+	 SCRIPT_KEEP, false, LOAD_UNKNOWN},
+	{"rejected", "HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n", SCRIPT_KEEP,
+	 false, LOAD_REJECTED},
+	{"cut", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", SCRIPT_CLOSE,
+	 false, LOAD_BROKEN},
 };
 
 START_TEST(test_outcome)
 {
 	struct script_step script[1][SCRIPT_STEP_COUNT_MAX] = {
 		{{SCRIPT_SEND, outcome_rows[_i].answer, 0},
-		 {SCRIPT_CLOSE, NULL, 0}}};
+		 {outcome_rows[_i].last, NULL, 0}}};
 	struct script_target_options target_options = {
 		.scripts = (const struct script_step(*)[SCRIPT_STEP_COUNT_MAX])
 			script,
