Mend the arrival of calm load in the flood bench; cause faults of claims

With the right load, small pools refused normal work, bulk waited up to its deadline of 10 s, and requests were refused after up to 1000 ms.

Change: arrivals are Poisson again. A cold target that answers as soon as its peers warms up sooner; what a service's requests usually take is a mean at first; a class may queue what the others leave it; bulk fills what is left of the share and plans with its sure part only; a request that has waited beyond its class's patience goes first. Released claims are kept for 3 s only, or a flood of refused keys fills the table. The holder of claims is split by message and state. claim_fault_test: 16 faults at 4 steps, 320 runs of four askers at once, and the lifetime.

Ruled out: turns alone in a class's queue; a caller that fills the queue before the others come waits longer than its deadline.

--- a/core/include/core/class_queue.h
+++ b/core/include/core/class_queue.h
@@ -6,19 +6,21 @@
 
 /*
  * The requests of one class that wait for a target. Callers take turns, and
- * none may hold more than its part of the places.
+ * none may hold more than its part of the places; but a request that has
+ * waited longer than patience_ms goes before all younger ones.
  */
 struct class_queue;
 
-struct class_queue *class_queue_new(uint32_t limit);
+struct class_queue *class_queue_new(uint32_t limit, uint32_t patience_ms);
 void class_queue_free(struct class_queue *queue);
 bool class_queue_has_room(struct class_queue *queue, uint64_t caller_hash,
 			  uint32_t limit, int64_t now_ms);
 void class_queue_push(struct class_queue *queue, uint64_t caller_hash,
-		      uint64_t request_id);
+		      uint64_t request_id, int64_t since_ms);
 void class_queue_push_first(struct class_queue *queue, uint64_t caller_hash,
-			    uint64_t request_id);
-bool class_queue_peek(const struct class_queue *queue, uint64_t *request_id);
+			    uint64_t request_id, int64_t since_ms);
+bool class_queue_peek(struct class_queue *queue, uint64_t *request_id,
+		      int64_t now_ms);
 bool class_queue_pop(struct class_queue *queue, uint64_t *request_id);
 bool class_queue_remove(struct class_queue *queue, uint64_t caller_hash,
 			uint64_t request_id);
--- a/core/src/admission.c
+++ b/core/src/admission.c
@@ -3,11 +3,12 @@
 #define UNIT_MILLI 1000
 #define CLASS_WINDOW_MS 1000
 #define TOTAL_WINDOW_MS 100
+#define SPARE_PERCENT 75
 
 /*
  * sure_percent of the node's share of the pool belongs to the class whatever
  * floods in. Beyond it a class may start while less than open_percent of the
- * limit (of the share, for bulk) is in flight.
+ * limit is in flight; for bulk, while less than that part of the share is bulk.
  */
 struct class_policy {
 	uint32_t sure_percent;
@@ -16,8 +17,8 @@
 
 static const struct class_policy policies[CLASS_COUNT] = {
 	[CLASS_URGENT] = {50, 100},
-	[CLASS_NORMAL] = {20, 90},
-	[CLASS_BULK] = {8, 40},
+	[CLASS_NORMAL] = {30, 90},
+	[CLASS_BULK] = {8, 30},
 };
 
 /* Starts with nothing in flight. */
@@ -60,16 +61,27 @@
 			sure_milli(work_class, limits), now_ms);
 }
 
+/* Bulk fills what the others leave of the share, and its own part only. */
+static bool is_open_to_bulk(struct admission *admission,
+			    const struct admission_limits *limits,
+			    int64_t now_ms)
+{
+	struct usage_average *bulk = &admission->by_class[CLASS_BULK];
+	uint32_t percent = policies[CLASS_BULK].open_percent;
+	uint32_t used_milli = usage_average_milli(&admission->total, now_ms) +
+			      usage_average_milli(bulk, now_ms);
+
+	return is_below(bulk, limits->share_milli * percent / 100, now_ms) &&
+	       used_milli < limits->share_milli * SPARE_PERCENT / 100;
+}
+
 static bool is_open(struct admission *admission, enum work_class work_class,
 		    const struct admission_limits *limits, int64_t now_ms)
 {
 	uint32_t percent = policies[work_class].open_percent;
-	uint32_t all = admission->total.in_flight +
-		       admission->by_class[CLASS_BULK].in_flight;
 
 	if (work_class == CLASS_BULK)
-		return (all + 1) * UNIT_MILLI <=
-		       limits->share_milli * percent / 100;
+		return is_open_to_bulk(admission, limits, now_ms);
 	return is_below(&admission->total, limits->limit_milli * percent / 100,
 			now_ms);
 }
@@ -99,10 +111,15 @@
 	return false;
 }
 
+static uint32_t above(uint32_t value, uint32_t floor)
+{
+	return value > floor ? value - floor : 0;
+}
+
 /*
  * Returns the part of the pool that a class can count on, in thousandths of a
- * request: its sure share, or what it had of late when that is more. Bulk may
- * lose all but the former at any moment.
+ * request: its sure share, or what the others left it of late when that is
+ * more. Bulk may lose all but the former at any moment.
  */
 uint32_t admission_part_milli(struct admission *admission,
 			      enum work_class work_class,
@@ -110,29 +127,38 @@
 			      int64_t now_ms)
 {
 	uint32_t sure = sure_milli(work_class, limits);
-	uint32_t average =
+	uint32_t all = usage_average_milli(&admission->total, now_ms);
+	uint32_t own =
 		usage_average_milli(&admission->by_class[work_class], now_ms);
+	uint32_t left = above(limits->limit_milli *
+				      policies[work_class].open_percent / 100,
+			      above(all, own));
 
 	if (work_class == CLASS_BULK)
 		return sure;
-	return sure > average ? sure : average;
+	return sure > left ? sure : left;
 }
 
-/* Returns when a class may start although nothing ends before. */
+/*
+ * Returns when a class that had its share may start again although nothing
+ * ends before, INT64_MAX for never.
+ */
 int64_t admission_retry_ms(struct admission *admission,
 			   const struct admission_limits *limits,
 			   int64_t now_ms)
 {
-	int64_t retry_ms = usage_average_below_ms(&admission->total,
-						  limits->limit_milli, now_ms);
+	int64_t retry_ms = INT64_MAX;
+	int64_t due_ms = usage_average_below_ms(&admission->total,
+						limits->limit_milli, now_ms);
 
+	if (due_ms > now_ms)
+		retry_ms = due_ms;
 	for (int i = 0; i < CLASS_COUNT; i++) {
-		int64_t class_ms = usage_average_below_ms(
+		due_ms = usage_average_below_ms(
 			&admission->by_class[i],
 			sure_milli((enum work_class)i, limits), now_ms);
-
-		if (class_ms > now_ms && class_ms < retry_ms)
-			retry_ms = class_ms;
+		if (due_ms > now_ms && due_ms < retry_ms)
+			retry_ms = due_ms;
 	}
-	return retry_ms > now_ms ? retry_ms : now_ms + 1;
+	return retry_ms;
 }
--- /dev/null
+++ b/core/src/claim_messages.c
@@ -0,0 +1,205 @@
+/* What a holder of claims does with each message of another node. */
+#include "claim_holder_state.h"
+
+static void on_ask(struct claim_holder *holder, uint64_t from,
+		   const struct claim_message *message, int64_t now_ms)
+{
+	struct claim_message answer = {
+		.kind = CLAIM_MESSAGE_VERDICT,
+		.key = message->key,
+		.token = message->token,
+		.verdict =
+			claim_holder_ask(holder, message->epoch, message->key,
+					 message->token, now_ms),
+	};
+
+	/* A verdict says which epoch it was given in. */
+	claim_holder_send(holder, from, &answer);
+}
+
+static void on_release(struct claim_holder *holder, uint64_t from,
+		       const struct claim_message *message, int64_t now_ms)
+{
+	if (message->token.node_id == from)
+		claim_table_release(holder->table, message->key, message->token,
+				    now_ms);
+}
+
+static bool is_of_interest(const struct claim_holder *holder, uint64_t node_id,
+			   struct flow_print key)
+{
+	struct roster_holders holders =
+		roster_holders_of(&holder->roster.epochs[0], key);
+
+	return roster_holders_has(&holders, node_id);
+}
+
+/* Whether the node knows all claims made before its own epoch. */
+static bool can_teach(const struct claim_holder *holder)
+{
+	for (guint i = 0; i < holder->steps->len; i++) {
+		const struct claim_step *step = claim_holder_step(holder, i);
+
+		if ((step->epoch < holder->roster.epoch || step->is_base) &&
+		    !claim_step_is_complete(step))
+			return false;
+	}
+	return holder->steps->len > 0;
+}
+
+static void fill_page(struct claim_holder *holder, uint64_t for_node_id,
+		      struct claim_message *page, int64_t now_ms)
+{
+	struct claim_entry entry;
+
+	while (page->entry_count < CLAIM_PAGE_ENTRIES_MAX) {
+		if (!claim_table_next(holder->table, &page->cursor, &entry,
+				      now_ms)) {
+			page->is_last = true;
+			return;
+		}
+		if (is_of_interest(holder, for_node_id, entry.key))
+			page->entries[page->entry_count++] = entry;
+	}
+}
+
+/*
+ * Answers a fetch with the next page. A node that cannot teach says nothing;
+ * the other one asks again.
+ */
+static void on_fetch(struct claim_holder *holder, uint64_t from,
+		     const struct claim_message *message, int64_t now_ms)
+{
+	struct claim_message page = {
+		.kind = CLAIM_MESSAGE_PAGE,
+		.cursor = message->cursor,
+		.token = message->token,
+	};
+
+	if (message->epoch != holder->roster.epoch ||
+	    holder->seen_epoch != message->epoch || !can_teach(holder))
+		return;
+	fill_page(holder, from, &page, now_ms);
+	claim_holder_send(holder, from, &page);
+}
+
+static struct claim_step *find_step(struct claim_holder *holder, uint64_t epoch)
+{
+	for (guint i = 0; i < holder->steps->len; i++) {
+		if (claim_holder_step(holder, i)->epoch == epoch)
+			return claim_holder_step(holder, i);
+	}
+	return NULL;
+}
+
+static bool merge_page(struct claim_holder *holder,
+		       const struct claim_message *page, int64_t now_ms)
+{
+	claim_table_expire(holder->table, now_ms);
+	for (uint32_t i = 0; i < page->entry_count; i++) {
+		if (!claim_table_merge(holder->table, &page->entries[i],
+				       now_ms))
+			return false;
+	}
+	return true;
+}
+
+/* Takes in a page; one from another epoch may lack keys and is ignored. */
+static void on_page(struct claim_holder *holder, uint64_t from,
+		    const struct claim_message *message, int64_t now_ms)
+{
+	struct claim_step *step = find_step(holder, message->token.request_id);
+	uint32_t index;
+
+	if (!step || message->epoch != holder->roster.epoch)
+		return;
+	index = claim_step_index(step, from);
+	if (index == step->former.member_count ||
+	    !merge_page(holder, message, now_ms))
+		return;
+	step->cursors[index] = message->cursor;
+	if (message->is_last)
+		claim_step_fetched(step, from);
+	else
+		claim_holder_fetch(holder, step, index);
+	claim_holder_drop_steps(holder);
+}
+
+static void on_probe(struct claim_holder *holder, uint64_t from,
+		     const struct claim_message *message, int64_t now_ms)
+{
+	struct claim_message answer = {
+		.kind = CLAIM_MESSAGE_PROBE_ANSWER,
+		.sent_ms = message->sent_ms,
+	};
+
+	claim_holder_send(holder, from, &answer);
+}
+
+static void on_probe_answer(struct claim_holder *holder, uint64_t from,
+			    const struct claim_message *message, int64_t now_ms)
+{
+	const struct roster_epoch *epoch = &holder->roster.epochs[0];
+
+	if (message->epoch != holder->roster.epoch || message->sent_ms > now_ms)
+		return;
+	for (uint32_t i = 0; i < epoch->member_count; i++) {
+		if (epoch->members[i].node_id == from)
+			holder->heard_ms[i] =
+				MAX(holder->heard_ms[i], message->sent_ms);
+	}
+}
+
+static void on_roster(struct claim_holder *holder, uint64_t from,
+		      const struct claim_message *message, int64_t now_ms)
+{
+	claim_holder_set_roster(holder, &message->roster, now_ms);
+}
+
+static void (*const handlers[CLAIM_MESSAGE_KIND_COUNT])(
+	struct claim_holder *holder, uint64_t from,
+	const struct claim_message *message, int64_t now_ms) = {
+	[CLAIM_MESSAGE_ASK] = on_ask,
+	[CLAIM_MESSAGE_RELEASE] = on_release,
+	[CLAIM_MESSAGE_FETCH] = on_fetch,
+	[CLAIM_MESSAGE_PAGE] = on_page,
+	[CLAIM_MESSAGE_PROBE] = on_probe,
+	[CLAIM_MESSAGE_PROBE_ANSWER] = on_probe_answer,
+	[CLAIM_MESSAGE_ROSTER] = on_roster,
+};
+
+/* Whoever lags behind the sender says so; whoever is ahead sends its roster. */
+static void compare_epochs(struct claim_holder *holder, uint64_t from,
+			   const struct claim_message *message, int64_t now_ms)
+{
+	struct claim_message roster = {.kind = CLAIM_MESSAGE_ROSTER};
+	struct claim_message behind = {
+		.kind = CLAIM_MESSAGE_PROBE,
+		.sent_ms = now_ms,
+	};
+
+	holder->seen_epoch = MAX(holder->seen_epoch, message->epoch);
+	if (message->kind == CLAIM_MESSAGE_ROSTER)
+		return;
+	if (message->epoch < holder->roster.epoch) {
+		roster.roster = holder->roster;
+		claim_holder_send(holder, from, &roster);
+	} else if (message->epoch > holder->roster.epoch &&
+		   message->kind != CLAIM_MESSAGE_PROBE) {
+		claim_holder_send(holder, from, &behind);
+	}
+}
+
+/* Takes a message of another node; a verdict is for the node's own rounds. */
+void claim_holder_message(struct claim_holder *holder, uint64_t from_node_id,
+			  const struct claim_message *message, int64_t now_ms)
+{
+	for (guint i = 0; i < holder->steps->len; i++) {
+		if (message->epoch >= claim_holder_step(holder, i)->epoch)
+			claim_step_confirmed(claim_holder_step(holder, i),
+					     from_node_id, now_ms);
+	}
+	compare_epochs(holder, from_node_id, message, now_ms);
+	if (handlers[message->kind])
+		handlers[message->kind](holder, from_node_id, message, now_ms);
+}
--- a/core/src/claim_table.c
+++ b/core/src/claim_table.c
@@ -2,8 +2,11 @@
 
 #include <glib.h>
 
+/* Longer than a round lasts and than its messages may be on their way. */
+#define RELEASED_MEMORY_MS 3000
+
 /*
- * The claim of one key. A released one stays for its lifetime, so that a late
+ * The claim of one key. A released one stays for a short while, so that a late
  * copy of its ask is not taken for a new one. A disputed one came from two
  * holders with two tokens; no release can free it.
  */
@@ -11,6 +14,7 @@
 	struct flow_print key;
 	struct claim_token token;
 	int64_t granted_ms;
+	int64_t released_ms;
 	uint64_t sequence;
 	GSequenceIter *place;
 	bool is_released;
@@ -21,6 +25,7 @@
 	struct claim_table_options options;
 	GHashTable *by_key;
 	GSequence *by_sequence;
+	GSequence *released;
 	uint64_t next_sequence;
 };
 
@@ -48,6 +53,7 @@
 	table->options = *options;
 	table->by_key = g_hash_table_new(key_hash, key_equal);
 	table->by_sequence = g_sequence_new(g_free);
+	table->released = g_sequence_new(g_free);
 	return table;
 }
 
@@ -58,23 +64,37 @@
 		return;
 	g_hash_table_destroy(table->by_key);
 	g_sequence_free(table->by_sequence);
+	g_sequence_free(table->released);
 	g_free(table);
 }
 
-/* Forgets claims whose lifetime has passed. */
-void claim_table_expire(struct claim_table *table, int64_t now_ms)
+static void forget(struct claim_table *table, struct claim *claim)
+{
+	g_hash_table_remove(table->by_key, &claim->key);
+	g_sequence_remove(claim->place);
+}
+
+static struct claim *first_of(GSequence *sequence)
 {
-	GSequenceIter *first = g_sequence_get_begin_iter(table->by_sequence);
+	GSequenceIter *first = g_sequence_get_begin_iter(sequence);
 
-	while (!g_sequence_iter_is_end(first)) {
-		GSequenceIter *next = g_sequence_iter_next(first);
-		struct claim *claim = g_sequence_get(first);
+	return g_sequence_iter_is_end(first) ? NULL : g_sequence_get(first);
+}
 
-		if (now_ms - claim->granted_ms < table->options.lifetime_ms)
-			return;
-		g_hash_table_remove(table->by_key, &claim->key);
-		g_sequence_remove(first);
-		first = next;
+/* Forgets claims whose lifetime has passed, and released ones sooner. */
+void claim_table_expire(struct claim_table *table, int64_t now_ms)
+{
+	struct claim *claim = first_of(table->by_sequence);
+
+	while (claim &&
+	       now_ms - claim->granted_ms >= table->options.lifetime_ms) {
+		forget(table, claim);
+		claim = first_of(table->by_sequence);
+	}
+	claim = first_of(table->released);
+	while (claim && now_ms - claim->released_ms >= RELEASED_MEMORY_MS) {
+		forget(table, claim);
+		claim = first_of(table->released);
 	}
 }
 
@@ -97,10 +117,10 @@
 
 /* A released claim's key goes to the next token, with a new lifetime. */
 static void regrant(struct claim_table *table, struct claim *claim,
-		    struct claim_token token, int64_t now_ms)
+		    struct claim_token token, int64_t granted_ms)
 {
 	claim->token = token;
-	claim->granted_ms = now_ms;
+	claim->granted_ms = granted_ms;
 	claim->is_released = false;
 	claim->sequence = ++table->next_sequence;
 	g_sequence_move(claim->place,
@@ -144,8 +164,12 @@
 
 	if (!claim)
 		claim = add(table, key, token, now_ms);
-	if (claim && !claim->is_disputed && is_token(claim->token, token))
-		claim->is_released = true;
+	if (!claim || claim->is_released || claim->is_disputed ||
+	    !is_token(claim->token, token))
+		return;
+	claim->is_released = true;
+	claim->released_ms = now_ms;
+	g_sequence_move(claim->place, g_sequence_get_end_iter(table->released));
 }
 
 /*
@@ -163,14 +187,14 @@
 	claim = g_hash_table_lookup(table->by_key, &entry->key);
 	if (!claim)
 		return add(table, entry->key, entry->token, granted_ms) != NULL;
-	claim->granted_ms = MAX(claim->granted_ms, granted_ms);
 	if (is_token(claim->token, entry->token))
 		return true;
-	claim->is_disputed = !claim->is_released;
 	if (claim->is_released) {
-		claim->token = entry->token;
-		claim->is_released = false;
+		regrant(table, claim, entry->token, granted_ms);
+		return true;
 	}
+	claim->granted_ms = MAX(claim->granted_ms, granted_ms);
+	claim->is_disputed = true;
 	return true;
 }
 
@@ -185,9 +209,9 @@
 }
 
 /*
- * Copies the first unreleased claim behind the cursor and moves the cursor to
- * it; returns false at the end. A cursor of 0 starts at the oldest. A disputed
- * claim goes out under a token that nobody has.
+ * Copies the first claim behind the cursor that is not released and moves the
+ * cursor to it; returns false at the end. A cursor of 0 starts at the oldest. A
+ * disputed claim goes out under a token that nobody has.
  */
 bool claim_table_next(const struct claim_table *table, uint64_t *cursor,
 		      struct claim_entry *entry, int64_t now_ms)
@@ -195,21 +219,17 @@
 	struct claim after = {.sequence = *cursor};
 	GSequenceIter *iter = g_sequence_search(table->by_sequence, &after,
 						compare_sequence, NULL);
-
-	for (; !g_sequence_iter_is_end(iter);
-	     iter = g_sequence_iter_next(iter)) {
-		const struct claim *claim = g_sequence_get(iter);
-
-		*cursor = claim->sequence;
-		if (claim->is_released)
-			continue;
-		entry->key = claim->key;
-		entry->token = claim->is_disputed ? (struct claim_token){0, 0}
-						  : claim->token;
-		entry->age_ms = (uint32_t)(now_ms - claim->granted_ms);
-		return true;
-	}
-	return false;
+	const struct claim *claim;
+
+	if (g_sequence_iter_is_end(iter))
+		return false;
+	claim = g_sequence_get(iter);
+	*cursor = claim->sequence;
+	entry->key = claim->key;
+	entry->token =
+		claim->is_disputed ? (struct claim_token){0, 0} : claim->token;
+	entry->age_ms = (uint32_t)(now_ms - claim->granted_ms);
+	return true;
 }
 
 /* Returns how many keys are held, released ones included. */
--- a/core/src/class_queue.c
+++ b/core/src/class_queue.c
@@ -4,6 +4,12 @@
 
 #define CALLER_MEMORY_MS 1000
 
+/* A request in the queue and since when it waits. */
+struct place {
+	uint64_t request_id;
+	int64_t since_ms;
+};
+
 /* What one caller has waiting; it has a link in turns while that is any. */
 struct caller {
 	uint64_t caller_hash;
@@ -13,6 +19,7 @@
 
 struct class_queue {
 	uint32_t limit;
+	uint32_t patience_ms;
 	uint32_t length;
 	GHashTable *callers;
 	GQueue turns;
@@ -28,11 +35,12 @@
 }
 
 /* Makes a queue of at most limit requests; freed with class_queue_free. */
-struct class_queue *class_queue_new(uint32_t limit)
+struct class_queue *class_queue_new(uint32_t limit, uint32_t patience_ms)
 {
 	struct class_queue *queue = g_new0(struct class_queue, 1);
 
 	queue->limit = limit;
+	queue->patience_ms = patience_ms;
 	queue->callers = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, caller_free);
 	g_queue_init(&queue->turns);
@@ -103,62 +111,88 @@
 	return queue->length < limit;
 }
 
-static uint64_t *new_id(uint64_t request_id)
+static struct place *new_place(uint64_t request_id, int64_t since_ms)
 {
-	uint64_t *id = g_new(uint64_t, 1);
+	struct place *place = g_new(struct place, 1);
 
-	*id = request_id;
-	return id;
+	place->request_id = request_id;
+	place->since_ms = since_ms;
+	return place;
 }
 
 /* Adds a request behind the caller's others. */
 void class_queue_push(struct class_queue *queue, uint64_t caller_hash,
-		      uint64_t request_id)
+		      uint64_t request_id, int64_t since_ms)
 {
 	struct caller *caller = caller_of(queue, caller_hash);
 
 	if (caller->waiting.length == 0)
 		g_queue_push_tail(&queue->turns, caller);
-	g_queue_push_tail(&caller->waiting, new_id(request_id));
+	g_queue_push_tail(&caller->waiting, new_place(request_id, since_ms));
 	queue->length++;
 }
 
 /* Puts a request back in front of all others; it had its turn before. */
 void class_queue_push_first(struct class_queue *queue, uint64_t caller_hash,
-			    uint64_t request_id)
+			    uint64_t request_id, int64_t since_ms)
 {
 	struct caller *caller = caller_of(queue, caller_hash);
 
 	if (caller->waiting.length > 0)
 		g_queue_remove(&queue->turns, caller);
 	g_queue_push_head(&queue->turns, caller);
-	g_queue_push_head(&caller->waiting, new_id(request_id));
+	g_queue_push_head(&caller->waiting, new_place(request_id, since_ms));
 	queue->length++;
 }
 
+static int64_t since_ms(const struct caller *caller)
+{
+	return ((struct place *)caller->waiting.head->data)->since_ms;
+}
+
+/* Gives the turn to the caller that has waited longest beyond patience. */
+static void serve_overdue(struct class_queue *queue, int64_t now_ms)
+{
+	GList *oldest = queue->turns.head;
+
+	for (GList *link = oldest; link; link = link->next) {
+		if (since_ms(link->data) < since_ms(oldest->data))
+			oldest = link;
+	}
+	if (!oldest || now_ms - since_ms(oldest->data) < queue->patience_ms)
+		return;
+	g_queue_unlink(&queue->turns, oldest);
+	g_queue_push_head_link(&queue->turns, oldest);
+}
+
 /* Returns the request whose turn it is and leaves it; false when empty. */
-bool class_queue_peek(const struct class_queue *queue, uint64_t *request_id)
+bool class_queue_peek(struct class_queue *queue, uint64_t *request_id,
+		      int64_t now_ms)
 {
-	const struct caller *caller =
-		g_queue_peek_head((GQueue *)&queue->turns);
+	const struct caller *caller;
 
+	serve_overdue(queue, now_ms);
+	caller = g_queue_peek_head(&queue->turns);
 	if (!caller)
 		return false;
-	*request_id = *(uint64_t *)caller->waiting.head->data;
+	*request_id = ((struct place *)caller->waiting.head->data)->request_id;
 	return true;
 }
 
-/* Takes out the request whose turn it is; returns false when empty. */
+/*
+ * Takes out the request that class_queue_peek has just returned; returns false
+ * when the queue is empty.
+ */
 bool class_queue_pop(struct class_queue *queue, uint64_t *request_id)
 {
 	struct caller *caller = g_queue_pop_head(&queue->turns);
-	uint64_t *id;
+	struct place *place;
 
 	if (!caller)
 		return false;
-	id = g_queue_pop_head(&caller->waiting);
-	*request_id = *id;
-	g_free(id);
+	place = g_queue_pop_head(&caller->waiting);
+	*request_id = place->request_id;
+	g_free(place);
 	if (caller->waiting.length > 0)
 		g_queue_push_tail(&queue->turns, caller);
 	queue->length--;
@@ -167,7 +201,9 @@
 
 static gint compare_ids(gconstpointer a, gconstpointer b)
 {
-	return *(const uint64_t *)a != *(const uint64_t *)b;
+	const struct place *place = a;
+
+	return place->request_id != *(const uint64_t *)b;
 }
 
 /* Takes out one request; returns false when it does not wait here. */
--- a/core/src/open_request.h
+++ b/core/src/open_request.h
@@ -15,6 +15,7 @@
 struct open_request {
 	struct request_event event;
 	uint64_t sequence;
+	int64_t since_ms;
 	enum open_request_state state;
 	enum work_class work_class;
 	uint64_t attempt_id;
--- a/core/src/request_attempts.c
+++ b/core/src/request_attempts.c
@@ -84,6 +84,8 @@
 		return;
 	target_limit_answered(&attempt->track->limit, latency_ms,
 			      request_service_usual_ms(service), now_ms);
+	slow_start_answered(&attempt->track->slow_start, latency_ms,
+			    request_service_usual_ms(service));
 	request_service_learn(service, latency_ms);
 }
 
@@ -146,7 +148,7 @@
 	request->state = REQUEST_WAITING;
 	class_queue_push_first(service->pool->queues[request->work_class],
 			       request->event.caller_hash,
-			       request->event.request_id);
+			       request->event.request_id, request->since_ms);
 }
 
 /* Decides what an ended attempt means for the request behind it. */
--- a/core/src/request_changes.c
+++ b/core/src/request_changes.c
@@ -72,7 +72,7 @@
 		request->work_class = service->rule->service.work_class;
 		class_queue_push(service->pool->queues[request->work_class],
 				 request->event.caller_hash,
-				 request->event.request_id);
+				 request->event.request_id, request->since_ms);
 	}
 	g_ptr_array_free(waiting, TRUE);
 }
--- a/core/src/request_director.c
+++ b/core/src/request_director.c
@@ -6,14 +6,7 @@
 #define REFUSAL_TIMEOUT_MS 8
 #define RETRY_AFTER_BASE_MS 1000
 #define MICRO_PER_MILLI 1000
-#define QUEUE_LEAST 4
-
-/* How long a class may be expected to wait for its turn. */
-static const uint32_t wait_budget_ms[CLASS_COUNT] = {
-	[CLASS_URGENT] = 250,
-	[CLASS_NORMAL] = 500,
-	[CLASS_BULK] = 2000,
-};
+#define QUEUE_LEAST 6
 
 /*
  * Makes a director with no rules, which refuses everything. Effects must not
@@ -128,7 +121,7 @@
 	uint32_t part =
 		admission_part_milli(&service->pool->admission,
 				     request->work_class, &limits, now_ms);
-	int64_t wait_ms = MIN(wait_budget_ms[request->work_class],
+	int64_t wait_ms = MIN(request_pool_wait_ms(request->work_class),
 			      (request->event.deadline_ms - now_ms) / 2);
 	int64_t bound = wait_ms * part / MICRO_PER_MILLI /
 			request_service_usual_ms(service);
@@ -168,8 +161,10 @@
 		  int64_t now_ms)
 {
 	request->state = REQUEST_WAITING;
+	request->since_ms = now_ms;
 	class_queue_push(service->pool->queues[request->work_class],
-			 request->event.caller_hash, request->event.request_id);
+			 request->event.caller_hash, request->event.request_id,
+			 now_ms);
 	deadline_heap_push(director->request_deadlines,
 			   request->event.deadline_ms,
 			   request->event.request_id);
--- a/core/src/request_dispatch.c
+++ b/core/src/request_dispatch.c
@@ -235,7 +235,7 @@
 	uint64_t request_id;
 	uint32_t index;
 
-	class_queue_peek(queue, &request_id);
+	class_queue_peek(queue, &request_id, now_ms);
 	request = g_hash_table_lookup(director->requests, &request_id);
 	service = request_catalog_service(director->catalog,
 					  request->event.service_id);
--- a/core/src/request_pool.c
+++ b/core/src/request_pool.c
@@ -1,12 +1,19 @@
 #include "request_pool.h"
 
+/* How long a class may be expected to wait for its turn. */
+static const uint32_t wait_ms[CLASS_COUNT] = {
+	[CLASS_URGENT] = 250,
+	[CLASS_NORMAL] = 500,
+	[CLASS_BULK] = 2000,
+};
+
 /* Makes a pool whose queues hold queue_limit requests each. */
 struct request_pool *request_pool_new(uint32_t queue_limit)
 {
 	struct request_pool *pool = g_new0(struct request_pool, 1);
 
 	for (int i = 0; i < CLASS_COUNT; i++)
-		pool->queues[i] = class_queue_new(queue_limit);
+		pool->queues[i] = class_queue_new(queue_limit, wait_ms[i]);
 	admission_init(&pool->admission);
 	pool->members = g_array_new(FALSE, FALSE, sizeof(struct pool_member));
 	pool->retry_ms = INT64_MAX;
@@ -24,6 +31,12 @@
 	g_free(pool);
 }
 
+/* Returns how long a class may be expected to wait in its queue. */
+uint32_t request_pool_wait_ms(enum work_class work_class)
+{
+	return wait_ms[work_class];
+}
+
 /* Tells whether any class has a request waiting. */
 bool request_pool_has_waiting(const struct request_pool *pool)
 {
--- a/core/src/request_service.c
+++ b/core/src/request_service.c
@@ -1,7 +1,7 @@
 #include "request_service.h"
 
 #define MICRO_PER_MS 1000
-#define USUAL_FIRST_MS 10
+#define USUAL_FIRST_MS 50
 #define USUAL_WEIGHT 32
 #define RETRY_GAIN_MILLI 100
 #define RETRY_LIMIT_MILLI 10000
@@ -38,18 +38,21 @@
 			     const struct request_service *former)
 {
 	service->usual_micro = former->usual_micro;
+	service->answer_count = former->answer_count;
 	service->retries = former->retries;
 }
 
-/* Learns how long the service's requests usually take. */
+/* Learns how long the service's requests usually take: first the mean. */
 void request_service_learn(struct request_service *service, uint32_t latency_ms)
 {
 	uint64_t latency_micro = (uint64_t)latency_ms * MICRO_PER_MS;
 
+	if (service->answer_count < USUAL_WEIGHT)
+		service->answer_count++;
 	service->usual_micro = (uint32_t)(((uint64_t)service->usual_micro *
-						   (USUAL_WEIGHT - 1) +
+						   (service->answer_count - 1) +
 					   latency_micro) /
-					  USUAL_WEIGHT);
+					  service->answer_count);
 }
 
 /* Returns how long the service's requests usually take, at least 1 ms. */
--- a/core/src/request_service.h
+++ b/core/src/request_service.h
@@ -15,6 +15,7 @@
 	GPtrArray *tracks;
 	enum target_state *states;
 	uint32_t usual_micro;
+	uint32_t answer_count;
 	struct retry_budget retries;
 };
 
--- /dev/null
+++ b/core/test/claim_fault_test.c
@@ -0,0 +1,382 @@
+/* One key through two nodes, with each fault at each step in between. */
+#include "claim_fleet.h"
+#include <string.h>
+
+#define ALL_MASK ((1U << CLAIM_NODES) - 1)
+#define FIRST_MASK ((1U << CLAIM_MEMBERS) - 1)
+#define FIRST 1
+#define SECOND 2
+#define LOSS_PPM 300000
+#define DUPLICATE_PPM 300000
+
+/* The places of one case: the owner, the second asker, the key's holders. */
+struct places {
+	struct flow_print key;
+	uint32_t owner;
+	uint32_t other;
+	uint32_t holders[ROSTER_HOLDERS_MAX];
+};
+
+static void none(struct claim_fleet *fleet, const struct places *places)
+{
+}
+
+static void stop_node(struct claim_fleet *fleet, uint32_t index)
+{
+	fleet->nodes[index].is_dead = true;
+}
+
+static void owner_dies(struct claim_fleet *fleet, const struct places *places)
+{
+	stop_node(fleet, places->owner);
+}
+
+static void owner_leaves(struct claim_fleet *fleet, const struct places *places)
+{
+	claim_fleet_publish(fleet, FIRST_MASK & ~(1U << places->owner),
+			    ALL_MASK);
+}
+
+static void owner_pauses(struct claim_fleet *fleet, const struct places *places)
+{
+	claim_fleet_pause(fleet, places->owner, true);
+}
+
+static void holder_dies(struct claim_fleet *fleet, const struct places *places)
+{
+	stop_node(fleet, places->holders[0]);
+}
+
+static void holder_pauses(struct claim_fleet *fleet,
+			  const struct places *places)
+{
+	claim_fleet_pause(fleet, places->holders[0], true);
+}
+
+static void holder_replaced(struct claim_fleet *fleet,
+			    const struct places *places)
+{
+	stop_node(fleet, places->holders[0]);
+	claim_fleet_publish(fleet,
+			    (FIRST_MASK & ~(1U << places->holders[0])) |
+				    1U << CLAIM_MEMBERS,
+			    ALL_MASK);
+}
+
+/* One after the other, with time to hand claims over in between. */
+static void holders_replaced(struct claim_fleet *fleet,
+			     const struct places *places)
+{
+	uint32_t mask = (FIRST_MASK & ~(1U << places->holders[0])) |
+			1U << CLAIM_MEMBERS;
+
+	holder_replaced(fleet, places);
+	claim_fleet_run(fleet, driver_now_ms(fleet->driver) + 1000);
+	stop_node(fleet, places->holders[1]);
+	mask = (mask & ~(1U << places->holders[1])) | 1U << (CLAIM_MEMBERS + 1);
+	claim_fleet_publish(fleet, mask, ALL_MASK);
+}
+
+/* Both at once: no majority of the former holders is left to ask. */
+static void holders_lost(struct claim_fleet *fleet, const struct places *places)
+{
+	uint32_t lost = 1U << places->holders[0] | 1U << places->holders[1];
+
+	stop_node(fleet, places->holders[0]);
+	stop_node(fleet, places->holders[1]);
+	claim_fleet_publish(fleet, ALL_MASK & ~lost, ALL_MASK);
+}
+
+static void members_join(struct claim_fleet *fleet, const struct places *places)
+{
+	claim_fleet_publish(fleet, ALL_MASK, ALL_MASK);
+}
+
+/* Only the second asker hears of the roster from the platform. */
+static void roster_uneven(struct claim_fleet *fleet,
+			  const struct places *places)
+{
+	claim_fleet_publish(fleet, ALL_MASK, 1U << places->other);
+}
+
+static void rosters_in_a_row(struct claim_fleet *fleet,
+			     const struct places *places)
+{
+	for (uint32_t i = 0; i < 3; i++)
+		claim_fleet_publish(fleet, i % 2 ? FIRST_MASK : ALL_MASK,
+				    ALL_MASK);
+}
+
+static void owner_cut_off(struct claim_fleet *fleet,
+			  const struct places *places)
+{
+	claim_fleet_cut_zone(fleet, places->owner % CLAIM_ZONES, true);
+}
+
+static void other_cut_off(struct claim_fleet *fleet,
+			  const struct places *places)
+{
+	claim_fleet_cut_zone(fleet, places->other % CLAIM_ZONES, true);
+}
+
+static void set_links(struct claim_fleet *fleet, uint32_t loss_ppm,
+		      uint32_t duplicate_ppm)
+{
+	for (uint32_t i = 0; i < CLAIM_NODES; i++) {
+		for (uint32_t j = 0; j < CLAIM_NODES; j++) {
+			struct driver_link *link =
+				driver_link(fleet->driver, i, j);
+
+			link->loss_ppm = loss_ppm;
+			link->duplicate_ppm = duplicate_ppm;
+			link->jitter_ms = 40;
+		}
+	}
+}
+
+static void messages_lost(struct claim_fleet *fleet,
+			  const struct places *places)
+{
+	set_links(fleet, LOSS_PPM, 0);
+}
+
+static void messages_doubled(struct claim_fleet *fleet,
+			     const struct places *places)
+{
+	set_links(fleet, 0, DUPLICATE_PPM);
+}
+
+/* When the fault comes, seen from the first request. */
+enum step {
+	STEP_BEFORE,
+	STEP_ASKED,
+	STEP_GRANTED,
+	STEP_RELEASED,
+	STEP_COUNT,
+};
+
+static const char *const step_names[STEP_COUNT] = {
+	"before it asks",
+	"while it asks",
+	"after it is granted",
+	"after it is released",
+};
+
+/*
+ * What the two requests get, by step. G granted, T taken, U unknown, - no
+ * answer, for its node is gone. Two G in one cell are right only where the
+ * first was released.
+ */
+static const struct {
+	const char *name;
+	void (*fault)(struct claim_fleet *fleet, const struct places *places);
+	const char *wanted[STEP_COUNT];
+} rows[] = {
+	{"nothing", none, {"GT", "GT", "GT", "GG"}},
+	{"owner dies", owner_dies, {"-G", "-T", "GT", "GG"}},
+	{"owner leaves", owner_leaves, {"GT", "GT", "GT", "GG"}},
+	{"owner pauses", owner_pauses, {"UT", "UT", "GT", "GG"}},
+	{"holder dies", holder_dies, {"GT", "GT", "GT", "GG"}},
+	{"holder pauses", holder_pauses, {"GT", "GT", "GT", "GG"}},
+	{"holder replaced", holder_replaced, {"GT", "GT", "GT", "GG"}},
+	{"holders replaced in turn",
+	 holders_replaced,
+	 {"GT", "GT", "GT", "GG"}},
+	{"holders lost at once", holders_lost, {"UU", "UU", "GU", "GU"}},
+	{"members join", members_join, {"GT", "GT", "GT", "GG"}},
+	{"roster known to one node", roster_uneven, {"GT", "GT", "GT", "GG"}},
+	{"three rosters in a row", rosters_in_a_row, {"GT", "GT", "GT", "GG"}},
+	{"owner's zone cut off", owner_cut_off, {"UG", "UT", "GT", "GG"}},
+	{"other's zone cut off", other_cut_off, {"GU", "GU", "GU", "GU"}},
+	{"messages lost", messages_lost, {"GT", "GT", "GT", "GG"}},
+	{"messages doubled", messages_doubled, {"GT", "GT", "GT", "GG"}},
+};
+
+#define ROW_COUNT (sizeof(rows) / sizeof(rows[0]))
+
+static char letter(enum claim_result result)
+{
+	static const char letters[] = {
+		[CLAIM_GRANTED] = 'G',
+		[CLAIM_TAKEN] = 'T',
+		[CLAIM_UNKNOWN] = 'U',
+		[CLAIM_NO_RESULT] = '-',
+	};
+
+	return letters[result];
+}
+
+static bool is_place(const struct places *places, uint32_t index)
+{
+	for (int i = 0; i < ROSTER_HOLDERS_MAX; i++) {
+		if (places->holders[i] == index)
+			return true;
+	}
+	return false;
+}
+
+/* Owner and other hold nothing, so that faults of holders are apart. */
+static struct places find_places(const struct claim_fleet *fleet)
+{
+	struct places places = {.key = {17, 42}};
+	struct roster_holders holders =
+		roster_holders_of(&fleet->roster.epochs[0], places.key);
+
+	for (int i = 0; i < ROSTER_HOLDERS_MAX; i++)
+		places.holders[i] = claim_node_index(holders.node_ids[i]);
+	while (is_place(&places, places.owner))
+		places.owner++;
+	places.other = places.owner + 1;
+	while (is_place(&places, places.other) ||
+	       places.other % CLAIM_ZONES == places.owner % CLAIM_ZONES)
+		places.other++;
+	return places;
+}
+
+static void claim(struct claim_fleet *fleet, uint32_t index, uint64_t request,
+		  struct flow_print key)
+{
+	struct claim_fleet_node *node = &fleet->nodes[index];
+
+	if (!node->is_dead)
+		claim_director_claim(node->claims, request, key,
+				     driver_now_ms(fleet->driver));
+}
+
+static void play(struct claim_fleet *fleet, const struct places *places,
+		 size_t row, enum step step)
+{
+	if (step == STEP_BEFORE)
+		rows[row].fault(fleet, places);
+	claim(fleet, places->owner, FIRST, places->key);
+	if (step == STEP_ASKED)
+		rows[row].fault(fleet, places);
+	claim_fleet_run(fleet, 4000);
+	if (step == STEP_GRANTED)
+		rows[row].fault(fleet, places);
+	if (step == STEP_RELEASED) {
+		claim_director_release(fleet->nodes[places->owner].claims,
+				       FIRST, places->key, 4000);
+		claim_fleet_run(fleet, 4100);
+		rows[row].fault(fleet, places);
+	}
+	claim_fleet_run(fleet, 8000);
+	claim(fleet, places->other, SECOND, places->key);
+	claim_fleet_run(fleet, 9500);
+	for (uint32_t i = 0; i < CLAIM_NODES; i++) {
+		if (fleet->nodes[i].is_paused)
+			claim_fleet_pause(fleet, i, false);
+	}
+	claim_fleet_run(fleet, 12000);
+}
+
+START_TEST(test_fault)
+{
+	size_t row = (size_t)_i / STEP_COUNT;
+	enum step step = (enum step)(_i % STEP_COUNT);
+	const char *wanted = rows[row].wanted[step];
+	struct claim_fleet fleet;
+	struct places places;
+	char name[96];
+	char seen[3] = "";
+
+	snprintf(name, sizeof(name), "%s, %s", rows[row].name,
+		 step_names[step]);
+	test_row("claim_fault", name);
+	claim_fleet_init(&fleet, 1);
+	claim_fleet_publish(&fleet, FIRST_MASK, ALL_MASK);
+	claim_fleet_run(&fleet, 1000);
+	places = find_places(&fleet);
+	play(&fleet, &places, row, step);
+	seen[0] = letter(fleet.results[FIRST]);
+	seen[1] = letter(fleet.results[SECOND]);
+	ck_assert_msg(strcmp(seen, wanted) == 0, "%s: %s, wanted %s", name,
+		      seen, wanted);
+	claim_fleet_clear(&fleet);
+}
+END_TEST
+
+/* At most one of several askers at once is granted, under every fault. */
+START_TEST(test_at_once)
+{
+	size_t row = (size_t)_i % ROW_COUNT;
+	struct claim_fleet fleet;
+	struct places places;
+	uint32_t granted_count = 0;
+	char name[96];
+
+	snprintf(name, sizeof(name), "%s, seed %d", rows[row].name,
+		 _i / (int)ROW_COUNT);
+	test_row("claim_at_once", name);
+	claim_fleet_init(&fleet, (uint64_t)_i);
+	claim_fleet_publish(&fleet, FIRST_MASK, ALL_MASK);
+	claim_fleet_run(&fleet, 1000);
+	places = find_places(&fleet);
+	for (uint32_t i = 0; i < 4; i++) {
+		claim(&fleet, i, 1 + i, places.key);
+		claim_fleet_run(&fleet, 1000 + i);
+	}
+	rows[row].fault(&fleet, &places);
+	claim_fleet_run(&fleet, 9000);
+	for (uint32_t i = 0; i < 4; i++) {
+		if (fleet.results[1 + i] == CLAIM_GRANTED)
+			granted_count++;
+	}
+	ck_assert_msg(granted_count <= 1, "%s: %u granted", name,
+		      granted_count);
+	claim_fleet_clear(&fleet);
+}
+END_TEST
+
+/* How long ago the key was granted, and whether it is free again. */
+static const struct {
+	const char *name;
+	int64_t asked_ms;
+	void (*fault)(struct claim_fleet *fleet, const struct places *places);
+	enum claim_result second;
+} lifetime_rows[] = {
+	{"within the lifetime", CLAIM_LIFETIME_MS, none, CLAIM_TAKEN},
+	{"after the lifetime", CLAIM_LIFETIME_MS + 2000, none, CLAIM_GRANTED},
+	{"holders lost, within lease and lifetime", CLAIM_LIFETIME_MS + 2000,
+	 holders_lost, CLAIM_UNKNOWN},
+	{"holders lost, after lease and lifetime",
+	 CLAIM_LEASE_MS + CLAIM_LIFETIME_MS + 6000, holders_lost,
+	 CLAIM_GRANTED},
+};
+
+START_TEST(test_lifetime)
+{
+	struct claim_fleet fleet;
+	struct places places;
+
+	test_row("claim_lifetime", lifetime_rows[_i].name);
+	claim_fleet_init(&fleet, 1);
+	claim_fleet_publish(&fleet, FIRST_MASK, ALL_MASK);
+	claim_fleet_run(&fleet, 1000);
+	places = find_places(&fleet);
+	claim(&fleet, places.owner, FIRST, places.key);
+	claim_fleet_run(&fleet, 2000);
+	ck_assert_int_eq(fleet.results[FIRST], CLAIM_GRANTED);
+	lifetime_rows[_i].fault(&fleet, &places);
+	claim_fleet_run(&fleet, lifetime_rows[_i].asked_ms);
+	claim(&fleet, places.other, SECOND, places.key);
+	claim_fleet_run(&fleet, lifetime_rows[_i].asked_ms + 1500);
+	ck_assert_int_eq(fleet.results[SECOND], lifetime_rows[_i].second);
+	claim_fleet_clear(&fleet);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("claim_fault");
+	TCase *tcase = tcase_create("fault");
+
+	tcase_set_timeout(tcase, 60);
+	tcase_add_loop_test(tcase, test_fault, 0,
+			    (int)(ROW_COUNT * STEP_COUNT));
+	tcase_add_loop_test(tcase, test_at_once, 0, (int)(ROW_COUNT * 20));
+	tcase_add_loop_test(tcase, test_lifetime, 0,
+			    sizeof(lifetime_rows) / sizeof(lifetime_rows[0]));
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
--- /dev/null
+++ b/core/test/claim_fleet.h
@@ -0,0 +1,199 @@
+#ifndef CLAIM_FLEET_H
+#define CLAIM_FLEET_H
+
+#include <core/claim_director.h>
+#include <fakes/driver.h>
+#include <fakes/test_main.h>
+
+#define CLAIM_NODES 9
+#define CLAIM_MEMBERS 7
+#define CLAIM_ZONES 3
+#define CLAIM_LIFETIME_MS 60000
+#define CLAIM_LEASE_MS 10000
+#define CLAIM_TICK_MS 20
+#define CLAIM_REQUESTS 8
+#define CLAIM_NO_RESULT CLAIM_RESULT_COUNT
+
+/* No answer yet; one more than the results of a claim. */
+enum {
+	CLAIM_RESULT_COUNT = CLAIM_UNKNOWN + 1,
+};
+
+/*
+ * Directors over the driver. Nodes 0 to CLAIM_MEMBERS - 1 are in the first
+ * roster, the rest are spare. A node that is dead gets and sends nothing.
+ */
+struct claim_fleet {
+	struct driver *driver;
+	struct claim_fleet_node {
+		struct claim_fleet *fleet;
+		uint32_t index;
+		struct claim_director *claims;
+		bool is_dead;
+		bool is_paused;
+	} nodes[CLAIM_NODES];
+	struct roster roster;
+	enum claim_result results[CLAIM_REQUESTS];
+	uint64_t message_count;
+};
+
+struct claim_parcel {
+	uint64_t from;
+	struct claim_message message;
+};
+
+static inline uint64_t claim_node_id(uint32_t index)
+{
+	return (index + 1) * 1000003ULL;
+}
+
+static inline uint32_t claim_node_index(uint64_t node_id)
+{
+	return (uint32_t)(node_id / 1000003ULL) - 1;
+}
+
+static inline void claim_fleet_deliver(void *context, uint32_t from,
+				       uint32_t to, void *data)
+{
+	struct claim_fleet *fleet = context;
+	struct claim_parcel *parcel = data;
+
+	if (!fleet->nodes[to].is_dead)
+		claim_director_message(fleet->nodes[to].claims, parcel->from,
+				       &parcel->message,
+				       driver_now_ms(fleet->driver));
+	g_free(parcel);
+}
+
+static inline void claim_fleet_discard(void *data)
+{
+	g_free(data);
+}
+
+static inline void *claim_fleet_duplicate(const void *data)
+{
+	return g_memdup2(data, sizeof(struct claim_parcel));
+}
+
+static inline void claim_fleet_send(void *context, uint64_t to_node_id,
+				    const struct claim_message *message)
+{
+	struct claim_fleet_node *node = context;
+	struct claim_parcel *parcel = g_new(struct claim_parcel, 1);
+
+	parcel->from = claim_node_id(node->index);
+	parcel->message = *message;
+	node->fleet->message_count++;
+	driver_send(node->fleet->driver, node->index,
+		    claim_node_index(to_node_id), parcel);
+}
+
+static inline void claim_fleet_answer(void *context, uint64_t request_id,
+				      enum claim_result result)
+{
+	struct claim_fleet_node *node = context;
+
+	node->fleet->results[request_id] = result;
+}
+
+static inline void claim_fleet_init(struct claim_fleet *fleet, uint64_t seed)
+{
+	struct driver_options options = {
+		.instance_count = CLAIM_NODES,
+		.seed = seed,
+		.link = {.delay_ms = 1, .jitter_ms = 2},
+		.context = fleet,
+		.deliver = claim_fleet_deliver,
+		.discard = claim_fleet_discard,
+		.duplicate = claim_fleet_duplicate,
+	};
+
+	*fleet = (struct claim_fleet){.driver = driver_new(&options)};
+	for (uint32_t i = 0; i < CLAIM_REQUESTS; i++)
+		fleet->results[i] = (enum claim_result)CLAIM_NO_RESULT;
+	for (uint32_t i = 0; i < CLAIM_NODES; i++) {
+		struct claim_fleet_node *node = &fleet->nodes[i];
+		struct claim_director_options claims = {
+			.node_id = claim_node_id(i),
+			.capacity = 1000,
+			.round_limit = 100,
+			.lifetime_ms = CLAIM_LIFETIME_MS,
+			.lease_ms = CLAIM_LEASE_MS,
+			.effects = {node, claim_fleet_send, claim_fleet_answer},
+		};
+
+		node->fleet = fleet;
+		node->index = i;
+		node->claims = claim_director_new(&claims);
+	}
+}
+
+static inline void claim_fleet_clear(struct claim_fleet *fleet)
+{
+	for (uint32_t i = 0; i < CLAIM_NODES; i++)
+		claim_director_free(fleet->nodes[i].claims);
+	driver_free(fleet->driver);
+}
+
+/* Runs to a moment; every node that can ticks on the way. */
+static inline void claim_fleet_run(struct claim_fleet *fleet, int64_t end_ms)
+{
+	int64_t now_ms = driver_now_ms(fleet->driver);
+
+	while (now_ms < end_ms) {
+		now_ms = MIN(now_ms + CLAIM_TICK_MS, end_ms);
+		driver_run_until(fleet->driver, now_ms);
+		for (uint32_t i = 0; i < CLAIM_NODES; i++) {
+			if (!fleet->nodes[i].is_dead &&
+			    !fleet->nodes[i].is_paused)
+				claim_director_tick(fleet->nodes[i].claims,
+						    now_ms);
+		}
+	}
+}
+
+/* Publishes a roster of the nodes in mask and tells those in told_mask. */
+static inline void claim_fleet_publish(struct claim_fleet *fleet, uint32_t mask,
+				       uint32_t told_mask)
+{
+	struct roster_member members[CLAIM_NODES];
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < CLAIM_NODES; i++) {
+		if (mask & (1U << i))
+			members[count++] = (struct roster_member){
+				claim_node_id(i), 1 + i % CLAIM_ZONES};
+	}
+	ck_assert(roster_next(&fleet->roster,
+			      fleet->roster.epoch ? &fleet->roster : NULL,
+			      members, count));
+	for (uint32_t i = 0; i < CLAIM_NODES; i++) {
+		if ((told_mask & (1U << i)) && !fleet->nodes[i].is_dead &&
+		    !fleet->nodes[i].is_paused)
+			claim_director_set_roster(fleet->nodes[i].claims,
+						  &fleet->roster,
+						  driver_now_ms(fleet->driver));
+	}
+}
+
+static inline void claim_fleet_pause(struct claim_fleet *fleet, uint32_t index,
+				     bool is_paused)
+{
+	fleet->nodes[index].is_paused = is_paused;
+	driver_pause(fleet->driver, index, is_paused);
+}
+
+static inline void claim_fleet_cut_zone(struct claim_fleet *fleet,
+					uint32_t zone, bool is_cut)
+{
+	for (uint32_t i = 0; i < CLAIM_NODES; i++) {
+		for (uint32_t j = 0; j < CLAIM_NODES; j++) {
+			if ((i % CLAIM_ZONES == zone) !=
+			    (j % CLAIM_ZONES == zone))
+				driver_link(fleet->driver, i, j)->is_cut =
+					is_cut;
+		}
+	}
+}
+
+#endif
--- a/ctl/src/flood_callers.c
+++ b/ctl/src/flood_callers.c
@@ -304,10 +304,8 @@
 			double uniform =
 				1.0 - g_rand_double(driver_rand(fleet->driver));
 
+			begin_work(fleet, (enum work_class)i, is_flood, now_ms);
 			fleet->arrival_debt[i] += log(uniform) / per_ms;
-			if (fleet->arrival_debt[i] > 0)
-				begin_work(fleet, (enum work_class)i, is_flood,
-					   now_ms);
 		}
 	}
 }
--- a/ctl/src/flood_node.h
+++ b/ctl/src/flood_node.h
@@ -49,8 +49,8 @@
 
 struct flood_event *flood_event_new(enum flood_event_kind kind,
 				    uint64_t to_node_id);
-void flood_event_free(void *event);
-void *flood_event_copy(const void *event);
+void flood_event_free(void *data);
+void *flood_event_copy(const void *data);
 void flood_node_handle(struct flood_node *node, const struct flood_event *event,
 		       int64_t now_ms);
 void flood_node_tick(struct flood_node *node, int64_t now_ms);
