--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
 # Entry points for people and CI; CMake does the work.
+MAKEFLAGS += --no-print-directory
 JOBS ?= $(shell nproc)
 DURATION_S ?= 15
 
@@ -15,7 +16,7 @@
 
 demo: deps
 	$(MAKE) all
-	build/shallotctl demo --duration-s $(DURATION_S)
+	scripts/demo $(DURATION_S)
 
 check: deps
 	scripts/check
--- a/ctl/src/bench_command.c
+++ b/ctl/src/bench_command.c
@@ -5,7 +5,9 @@
 #include <string.h>
 
 static const struct bench *const benches[] = {
+	&bench_config,
 	&bench_decide,
+	&bench_path,
 	&bench_flood,
 };
 
