--- a/core/include/core/claim_message.h
+++ b/core/include/core/claim_message.h
@@ -60,7 +60,6 @@
 	int64_t sent_ms;
 	uint64_t cursor;
 	bool is_last;
-	bool is_complete;
 	uint32_t entry_count;
 	struct claim_entry entries[CLAIM_PAGE_ENTRIES_MAX];
 	struct roster roster;
