Run the claims of a node in a task of their own

Cause: the request task needs answers about idempotency keys from other nodes.

Change: claims_task owns the claim director, takes rosters, requests and messages of other nodes, and posts what goes out to the control task. Its timer is set to when something is due; an idle member wakes for its probe each 10 s.

Conclusion: a node that has no platform needs a roster of itself alone from whoever starts it; without a roster every key is 'unknown'.

--- a/core/include/core/claim_director.h
+++ b/core/include/core/claim_director.h
@@ -48,7 +48,7 @@
 			    uint64_t from_node_id,
 			    const struct claim_message *message,
 			    int64_t now_ms);
-void claim_director_tick(struct claim_director *director, int64_t now_ms);
+int64_t claim_director_tick(struct claim_director *director, int64_t now_ms);
 bool claim_director_is_complete(const struct claim_director *director);
 
 #endif
--- a/core/src/claim_director.c
+++ b/core/src/claim_director.c
@@ -256,20 +256,26 @@
 	return rounds;
 }
 
-/* Asks again where no verdict came and ends rounds that took too long. */
-void claim_director_tick(struct claim_director *director, int64_t now_ms)
+/*
+ * Asks again where no verdict came and ends rounds that took too long. Returns
+ * when to be called next, INT64_MAX for not before another event.
+ */
+int64_t claim_director_tick(struct claim_director *director, int64_t now_ms)
 {
+	int64_t next_ms = claim_holder_tick(director->holder, now_ms);
 	GPtrArray *rounds = open_rounds(director);
 	uint64_t epoch = claim_holder_roster(director->holder)->epoch;
 
-	claim_holder_tick(director->holder, now_ms);
 	for (guint i = 0; i < rounds->len; i++) {
 		struct claim_round *round = g_ptr_array_index(rounds, i);
 
 		if (now_ms - round->asked_ms >= ASK_INTERVAL_MS ||
 		    round->epoch != epoch)
 			ask(director, round, now_ms);
-		settle_round(director, round, now_ms);
+		if (!settle_round(director, round, now_ms))
+			next_ms =
+				MIN(next_ms, round->asked_ms + ASK_INTERVAL_MS);
 	}
 	g_ptr_array_free(rounds, TRUE);
+	return next_ms;
 }
--- a/core/src/claim_holder.c
+++ b/core/src/claim_holder.c
@@ -262,17 +262,25 @@
 	}
 }
 
-/* Renews the lease, asks again for what is missing and forgets old claims. */
-void claim_holder_tick(struct claim_holder *holder, int64_t now_ms)
+/*
+ * Renews the lease, asks again for what is missing and forgets old claims.
+ * Returns when to be called next, INT64_MAX for not before another event.
+ */
+int64_t claim_holder_tick(struct claim_holder *holder, int64_t now_ms)
 {
+	uint32_t probe_interval_ms = holder->options.lease_ms / PROBE_PART;
+
 	claim_table_expire(holder->table, now_ms);
 	if (!is_member(holder))
-		return;
+		return INT64_MAX;
 	outlast(holder, now_ms);
 	claim_holder_drop_steps(holder);
-	if (now_ms - holder->probed_ms >= holder->options.lease_ms / PROBE_PART)
+	if (now_ms - holder->probed_ms >= probe_interval_ms)
 		probe(holder, now_ms);
-	if (!claim_holder_is_complete(holder) &&
-	    now_ms - holder->fetched_ms >= FETCH_INTERVAL_MS)
+	if (claim_holder_is_complete(holder))
+		return holder->probed_ms + probe_interval_ms;
+	if (now_ms - holder->fetched_ms >= FETCH_INTERVAL_MS)
 		fetch_all(holder, now_ms);
+	return MIN(holder->probed_ms + probe_interval_ms,
+		   holder->fetched_ms + FETCH_INTERVAL_MS);
 }
--- /dev/null
+++ b/daemon/src/claims_task.c
@@ -0,0 +1,314 @@
+#include <daemon/claims_task.h>
+
+#include <core/claim_director.h>
+#include <daemon/claim_reply_message.h>
+#include <daemon/claim_request_message.h>
+#include <daemon/control_message.h>
+#include <daemon/metrics_message.h>
+#include <daemon/roster_message.h>
+#include <inttypes.h>
+#include <task/counter_set.h>
+#include <task/log.h>
+#include <task/timer.h>
+#include <unistd.h>
+#include <wire/claim_codec.h>
+
+/* Full mailbox: askers count that as unknown, other nodes ask again. */
+#define MAILBOX_CAPACITY 4096
+#define CLAIM_CAPACITY 200000
+#define ROUND_LIMIT 4096
+#define KEY_LIFETIME_MS 600000
+#define LEASE_MS 30000
+
+enum claims_counter {
+	CLAIMS_GRANTED,
+	CLAIMS_TAKEN,
+	CLAIMS_UNKNOWN,
+	CLAIMS_RELEASED,
+	CLAIMS_SENT,
+	CLAIMS_NOT_SENT,
+	CLAIMS_BYTES_SENT,
+	CLAIMS_MALFORMED,
+	CLAIMS_EPOCH,
+	CLAIMS_COUNTER_COUNT,
+};
+
+static const struct counter_row counter_rows[CLAIMS_COUNTER_COUNT] = {
+	[CLAIMS_GRANTED] = {"shallot_claims_total{result=\"granted\"}",
+			    "Idempotency keys asked for, by result.",
+			    COUNTER_TOTAL},
+	[CLAIMS_TAKEN] = {"shallot_claims_total{result=\"taken\"}",
+			  "Idempotency keys asked for, by result.",
+			  COUNTER_TOTAL},
+	[CLAIMS_UNKNOWN] = {"shallot_claims_total{result=\"unknown\"}",
+			    "Idempotency keys asked for, by result.",
+			    COUNTER_TOTAL},
+	[CLAIMS_RELEASED] = {"shallot_claims_released_total",
+			     "Idempotency keys given back.", COUNTER_TOTAL},
+	[CLAIMS_SENT] = {"shallot_claim_messages_sent_total",
+			 "Messages about claims given to the control task.",
+			 COUNTER_TOTAL},
+	[CLAIMS_NOT_SENT] = {"shallot_claim_messages_not_sent_total",
+			     "Messages about claims that found it full.",
+			     COUNTER_TOTAL},
+	[CLAIMS_BYTES_SENT] = {"shallot_claim_bytes_sent_total",
+			       "Bytes of messages about claims.",
+			       COUNTER_TOTAL},
+	[CLAIMS_MALFORMED] = {"shallot_claim_messages_malformed_total",
+			      "Messages about claims that were unreadable.",
+			      COUNTER_TOTAL},
+	[CLAIMS_EPOCH] = {"shallot_claim_roster_epoch",
+			  "Epoch of the roster of claim holders.",
+			  COUNTER_GAUGE},
+};
+
+/* A request that waits for its claim, and the task that asked. */
+struct asker {
+	uint64_t request_id;
+	struct task *reply_to;
+};
+
+struct claims_task {
+	struct claims_options options;
+	struct task *task;
+	struct timer *timer;
+	struct claim_director *claims;
+	GHashTable *askers;
+	struct counter_set *counters;
+	struct log *log;
+};
+
+static bool post_or_free(struct task *task, struct message *message)
+{
+	if (task && task_post(task, message) == POST_TAKEN)
+		return true;
+	message_free(message);
+	return false;
+}
+
+static void on_send(void *context, uint64_t to_node_id,
+		    const struct claim_message *message)
+{
+	struct claims_task *claims = context;
+	GByteArray *bytes = claim_encode(message, NULL);
+	bool is_sent;
+
+	if (!bytes) {
+		counter_set_add(claims->counters, CLAIMS_NOT_SENT, 1);
+		return;
+	}
+	is_sent = post_or_free(
+		claims->options.control,
+		control_message_new(&control_out_type, to_node_id,
+				    claim_codec_procedure(message->kind),
+				    bytes->data, bytes->len));
+	counter_set_add(claims->counters,
+			is_sent ? CLAIMS_SENT : CLAIMS_NOT_SENT, 1);
+	if (is_sent)
+		counter_set_add(claims->counters, CLAIMS_BYTES_SENT,
+				bytes->len);
+	g_byte_array_free(bytes, TRUE);
+}
+
+static const struct {
+	const char *name;
+	enum claims_counter counter;
+} results[] = {
+	[CLAIM_GRANTED] = {"granted", CLAIMS_GRANTED},
+	[CLAIM_TAKEN] = {"taken", CLAIMS_TAKEN},
+	[CLAIM_UNKNOWN] = {"unknown", CLAIMS_UNKNOWN},
+};
+
+/* An answer that finds the mailbox full is dropped: the asker times out. */
+static void on_answer(void *context, uint64_t request_id,
+		      enum claim_result result)
+{
+	struct claims_task *claims = context;
+	struct asker *asker = g_hash_table_lookup(claims->askers, &request_id);
+
+	counter_set_add(claims->counters, results[result].counter, 1);
+	log_write(claims->log, LOG_LEVEL_INFO, "claim",
+		  "request=%" PRIu64 " result=%s epoch=%" PRIu64, request_id,
+		  results[result].name,
+		  claim_director_roster(claims->claims)->epoch);
+	if (!asker)
+		return;
+	post_or_free(asker->reply_to,
+		     claim_reply_message_new(request_id, result));
+	g_hash_table_remove(claims->askers, &request_id);
+}
+
+static void on_ask(struct claims_task *claims,
+		   const struct claim_request_message *request, int64_t now_ms)
+{
+	struct asker *asker = g_new(struct asker, 1);
+
+	asker->request_id = request->request_id;
+	asker->reply_to = request->reply_to;
+	g_hash_table_replace(claims->askers, &asker->request_id, asker);
+	claim_director_claim(claims->claims, request->request_id, request->key,
+			     now_ms);
+}
+
+static void on_request(struct claims_task *claims,
+		       const struct claim_request_message *request,
+		       int64_t now_ms)
+{
+	switch (request->action) {
+	case CLAIM_ACTION_ASK:
+		on_ask(claims, request, now_ms);
+		break;
+	case CLAIM_ACTION_RELEASE:
+		counter_set_add(claims->counters, CLAIMS_RELEASED, 1);
+		g_hash_table_remove(claims->askers, &request->request_id);
+		claim_director_release(claims->claims, request->request_id,
+				       request->key, now_ms);
+		break;
+	case CLAIM_ACTION_SETTLE:
+		/* A granted claim stays until its lifetime ends as it is. */
+		break;
+	}
+}
+
+static void on_control(struct claims_task *claims,
+		       const struct control_message *control, int64_t now_ms)
+{
+	struct claim_message message;
+
+	if (!claim_decode(&message, control->procedure, control->bytes,
+			  control->length_bytes, NULL)) {
+		counter_set_add(claims->counters, CLAIMS_MALFORMED, 1);
+		return;
+	}
+	claim_director_message(claims->claims, control->node_id, &message,
+			       now_ms);
+}
+
+static void on_roster(struct claims_task *claims,
+		      const struct roster_message *message, int64_t now_ms)
+{
+	log_write(claims->log, LOG_LEVEL_NOTICE, "roster",
+		  "epoch=%" PRIu64 " members=%u", message->roster.epoch,
+		  message->roster.epochs[0].member_count);
+	claim_director_set_roster(claims->claims, &message->roster, now_ms);
+}
+
+/* Lets time pass, and sets the timer to when that matters next. */
+static void tick(void *context)
+{
+	struct claims_task *claims = context;
+	int64_t now_ms = task_now_ms();
+	int64_t next_ms = claim_director_tick(claims->claims, now_ms);
+
+	counter_set_assign(claims->counters, CLAIMS_EPOCH,
+			   claim_director_roster(claims->claims)->epoch);
+	if (next_ms == INT64_MAX)
+		timer_cancel(claims->timer);
+	else
+		timer_once(claims->timer, (uint32_t)MAX(next_ms - now_ms, 1));
+}
+
+static void handle(void *context, struct message *message)
+{
+	struct claims_task *claims = context;
+	int64_t now_ms = task_now_ms();
+
+	if (message->type == &claim_request_message_type)
+		on_request(claims, (struct claim_request_message *)message,
+			   now_ms);
+	else if (message->type == &control_in_type)
+		on_control(claims, (struct control_message *)message, now_ms);
+	else if (message->type == &roster_message_type)
+		on_roster(claims, (struct roster_message *)message, now_ms);
+	else if (message->type == &metrics_request_type)
+		metrics_request_answer(message, claims->counters);
+	message_free(message);
+	tick(claims);
+}
+
+static bool start(void *context, struct task *task, GError **error)
+{
+	struct claims_task *claims = context;
+
+	claims->timer = timer_new(task, claims, tick);
+	return true;
+}
+
+static void stop(void *context)
+{
+	struct claims_task *claims = context;
+
+	timer_free(claims->timer);
+	claims->timer = NULL;
+}
+
+static void make_state(struct claims_task *claims)
+{
+	struct claim_director_options director = {
+		.node_id = claims->options.node_id,
+		.capacity = CLAIM_CAPACITY,
+		.round_limit = ROUND_LIMIT,
+		.lifetime_ms = KEY_LIFETIME_MS,
+		.lease_ms = LEASE_MS,
+		.effects = {claims, on_send, on_answer},
+	};
+	struct log_options log_options = {
+		.program = "shallotd",
+		.task = "claims",
+		.level = (enum log_level)claims->options.settings->log_level,
+		.rate_per_s = claims->options.settings->log_rate_per_s,
+		.fd = STDERR_FILENO,
+	};
+
+	claims->claims = claim_director_new(&director);
+	claims->askers = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       NULL, g_free);
+	claims->counters = counter_set_new(counter_rows, CLAIMS_COUNTER_COUNT);
+	claims->log = log_new(&log_options);
+}
+
+/*
+ * Makes the task. The settings and the control task must outlive it; without
+ * a control task it reaches no other node. The caller frees it with
+ * claims_task_free.
+ */
+struct claims_task *claims_task_new(const struct claims_options *options,
+				    GError **error)
+{
+	struct claims_task *claims = g_new0(struct claims_task, 1);
+	struct task_options task_options = {
+		.name = "claims",
+		.mailbox_capacity = MAILBOX_CAPACITY,
+		.context = claims,
+		.start = start,
+		.handle = handle,
+		.stop = stop,
+	};
+
+	claims->options = *options;
+	make_state(claims);
+	claims->task = task_new(&task_options, error);
+	if (claims->task)
+		return claims;
+	claims_task_free(claims);
+	return NULL;
+}
+
+/* Stops the task and frees it; NULL is allowed. */
+void claims_task_free(struct claims_task *claims)
+{
+	if (!claims)
+		return;
+	task_free(claims->task);
+	claim_director_free(claims->claims);
+	g_hash_table_destroy(claims->askers);
+	counter_set_free(claims->counters);
+	log_free(claims->log);
+	g_free(claims);
+}
+
+/* Returns the task, to start it and to post messages to it. */
+struct task *claims_task_task(struct claims_task *claims)
+{
+	return claims->task;
+}
--- /dev/null
+++ b/daemon/test/claims_task_test.c
@@ -0,0 +1,201 @@
+/* Claims tasks of several nodes, joined by a stand-in for the control task. */
+#include <daemon/claim_reply_message.h>
+#include <daemon/claim_request_message.h>
+#include <daemon/claims_task.h>
+#include <daemon/control_message.h>
+#include <daemon/roster_message.h>
+#include <fakes/test_main.h>
+
+#define NODE_COUNT 3
+#define WAIT_MOST_S 60
+
+struct fleet;
+
+/* The control task's place: what goes out comes in at the node it is for. */
+struct joint {
+	struct fleet *fleet;
+	uint64_t node_id;
+	struct task *task;
+};
+
+struct fleet {
+	struct settings settings;
+	struct joint joints[NODE_COUNT];
+	struct claims_task *claims[NODE_COUNT];
+	struct task *asker;
+	GAsyncQueue *replies;
+};
+
+static void hand_over(void *context, struct message *message)
+{
+	struct joint *joint = context;
+	struct control_message *out = (struct control_message *)message;
+	struct message *in;
+
+	if (message->type == &control_out_type) {
+		in = control_message_new(&control_in_type, joint->node_id,
+					 out->procedure, out->bytes,
+					 out->length_bytes);
+		if (task_post(claims_task_task(
+				      joint->fleet->claims[out->node_id - 1]),
+			      in) != POST_TAKEN)
+			message_free(in);
+	}
+	message_free(message);
+}
+
+static void take_reply(void *context, struct message *message)
+{
+	g_async_queue_push(context, message);
+}
+
+static struct task *start_task(const char *name, void *context,
+			       void (*handle)(void *, struct message *))
+{
+	struct task_options options = {
+		.name = name,
+		.mailbox_capacity = 1024,
+		.context = context,
+		.handle = handle,
+	};
+	struct task *task = task_new(&options, NULL);
+
+	ck_assert(task_start(task, NULL));
+	return task;
+}
+
+static void post(struct task *task, struct message *message)
+{
+	ck_assert_int_eq(task_post(task, message), POST_TAKEN);
+}
+
+static void setup(struct fleet *fleet)
+{
+	*fleet = (struct fleet){.settings = {.log_level = 3}};
+	fleet->replies = g_async_queue_new();
+	fleet->asker = start_task("asker", fleet->replies, take_reply);
+	for (uint32_t i = 0; i < NODE_COUNT; i++) {
+		struct joint *joint = &fleet->joints[i];
+		struct claims_options options = {
+			.settings = &fleet->settings,
+			.node_id = i + 1,
+		};
+
+		joint->fleet = fleet;
+		joint->node_id = i + 1;
+		joint->task = start_task("joint", joint, hand_over);
+		options.control = joint->task;
+		fleet->claims[i] = claims_task_new(&options, NULL);
+	}
+	for (uint32_t i = 0; i < NODE_COUNT; i++)
+		ck_assert(task_start(claims_task_task(fleet->claims[i]), NULL));
+}
+
+static void teardown(struct fleet *fleet)
+{
+	for (uint32_t i = 0; i < NODE_COUNT; i++)
+		task_stop(claims_task_task(fleet->claims[i]));
+	for (uint32_t i = 0; i < NODE_COUNT; i++)
+		task_free(fleet->joints[i].task);
+	for (uint32_t i = 0; i < NODE_COUNT; i++)
+		claims_task_free(fleet->claims[i]);
+	task_free(fleet->asker);
+	g_async_queue_unref(fleet->replies);
+}
+
+static void request(struct fleet *fleet, uint32_t node,
+		    enum claim_action action, uint64_t request_id, uint64_t key)
+{
+	struct request_event event = {
+		.request_id = request_id,
+		.idempotency_print = {key, key},
+	};
+
+	post(claims_task_task(fleet->claims[node]),
+	     claim_request_message_new(action, &event, fleet->asker));
+}
+
+static enum claim_result await(struct fleet *fleet, uint64_t request_id)
+{
+	struct claim_reply_message *reply = g_async_queue_timeout_pop(
+		fleet->replies, WAIT_MOST_S * G_USEC_PER_SEC);
+	enum claim_result result;
+
+	ck_assert_ptr_nonnull(reply);
+	ck_assert_uint_eq(reply->request_id, request_id);
+	result = reply->result;
+	message_free(&reply->message);
+	return result;
+}
+
+static void publish(struct fleet *fleet, uint32_t told_count)
+{
+	struct roster_member members[NODE_COUNT];
+	struct roster roster;
+
+	for (uint32_t i = 0; i < NODE_COUNT; i++)
+		members[i] = (struct roster_member){i + 1, i + 1};
+	ck_assert(roster_next(&roster, NULL, members, NODE_COUNT));
+	for (uint32_t i = 0; i < told_count; i++)
+		post(claims_task_task(fleet->claims[i]),
+		     roster_message_new(&roster));
+}
+
+/* What is done between the first ask and the second, for one key. */
+static const struct {
+	const char *name;
+	uint32_t told_count;
+	bool is_released;
+	bool is_settled;
+	bool is_garbled;
+	enum claim_result first;
+	enum claim_result second;
+} rows[] = {
+	{"twice", 3, false, false, false, CLAIM_GRANTED, CLAIM_TAKEN},
+	{"settled", 3, false, true, false, CLAIM_GRANTED, CLAIM_TAKEN},
+	{"released", 3, true, false, false, CLAIM_GRANTED, CLAIM_GRANTED},
+	{"roster passed on by a peer", 1, false, false, false, CLAIM_GRANTED,
+	 CLAIM_TAKEN},
+	{"no roster", 0, false, false, false, CLAIM_UNKNOWN, CLAIM_UNKNOWN},
+	{"garbled message", 3, false, false, true, CLAIM_GRANTED, CLAIM_TAKEN},
+};
+
+START_TEST(test_two_nodes)
+{
+	static const uint8_t garbage[] = {0xff, 0, 1};
+	struct fleet fleet;
+
+	test_row("claims_task", rows[_i].name);
+	setup(&fleet);
+	publish(&fleet, rows[_i].told_count);
+	request(&fleet, 0, CLAIM_ACTION_ASK, 1, 7);
+	ck_assert_int_eq(await(&fleet, 1), rows[_i].first);
+	if (rows[_i].is_settled)
+		request(&fleet, 0, CLAIM_ACTION_SETTLE, 1, 7);
+	if (rows[_i].is_garbled)
+		post(claims_task_task(fleet.claims[1]),
+		     control_message_new(&control_in_type, 1, 33, garbage,
+					 sizeof(garbage)));
+	if (rows[_i].is_released) {
+		request(&fleet, 0, CLAIM_ACTION_RELEASE, 1, 7);
+		/* The answer to another key says that the release went out. */
+		request(&fleet, 0, CLAIM_ACTION_ASK, 2, 8);
+		ck_assert_int_eq(await(&fleet, 2), CLAIM_GRANTED);
+	}
+	request(&fleet, 1, CLAIM_ACTION_ASK, 3, 7);
+	ck_assert_int_eq(await(&fleet, 3), rows[_i].second);
+	teardown(&fleet);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("claims_task");
+	TCase *tcase = tcase_create("claims_task");
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(tcase, test_two_nodes, 0,
+			    sizeof(rows) / sizeof(rows[0]));
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
