Encode flow messages, measure decisions and planned changes

Cause: messages between flow directors had no encoding, and nothing measured the cost of a decision or the flows cut by a change.

Ranking uses integers (log2 from a table), so that every build agrees; records take 16 bytes, four to a cache line; service addresses have an open addressing map.

Ruled out: the print's upper half in each record, as half a print is alike for two flows once in many years and the service is checked in any case.

--- a/core/include/core/flow_record.h
+++ b/core/include/core/flow_record.h
@@ -13,23 +13,23 @@
 };
 
 /*
- * One flow in a flow_table. print_check holds upper bits of the print, or 0
- * for a record learned from another node, which sends the lower half only.
+ * One flow in a flow_table, by the lower half of its print, which is also what
+ * nodes tell each other. Two flows share a half once in many years; the later
+ * one then goes to the target of the earlier if that serves its service.
  * sent_epoch is the epoch of the flow's slot when it was last sent to another
- * node, 0 for never.
+ * node, 0 for never. Four records fill a cache line.
  */
 struct flow_record {
 	uint64_t print_low;
-	uint32_t print_check;
 	uint32_t last_seen_ds;
 	uint16_t target_index;
-	uint8_t state;
 	uint8_t sent_epoch;
-	bool is_used;
+	uint8_t state : 3;
+	bool is_used : 1;
 	/* Held for another home; it does not count as load here. */
-	bool is_mirror;
+	bool is_mirror : 1;
 	/* Placed without knowledge; a home that knows may correct it. */
-	bool is_guess;
+	bool is_guess : 1;
 };
 
 #endif
--- a/core/include/core/flow_table.h
+++ b/core/include/core/flow_table.h
@@ -21,13 +21,12 @@
 uint32_t flow_table_bucket_count(const struct flow_table *table);
 uint64_t flow_table_size_bytes(const struct flow_table *table);
 bool flow_table_may_open(const struct flow_table *table);
+void flow_table_prefetch(const struct flow_table *table, uint64_t print_low);
 struct flow_record *flow_table_find(struct flow_table *table,
-				    struct flow_print print);
-struct flow_record *flow_table_find_low(struct flow_table *table,
-					uint64_t print_low);
+				    uint64_t print_low);
 struct flow_record *flow_table_insert(struct flow_table *table,
-				      struct flow_print print,
-				      enum flow_state state, int64_t now_ms);
+				      uint64_t print_low, enum flow_state state,
+				      int64_t now_ms);
 void flow_table_touch(struct flow_table *table, struct flow_record *record,
 		      enum flow_state state, int64_t now_ms);
 bool flow_table_is_idle(const struct flow_record *record, int64_t now_ms);
--- a/core/include/core/target_rank.h
+++ b/core/include/core/target_rank.h
@@ -4,8 +4,8 @@
 #include <core/flow_key.h>
 #include <core/target.h>
 
-double target_rank_score(uint64_t target_id, uint32_t weight,
-			 uint64_t print_low);
+uint64_t target_rank_cost(uint64_t target_id, uint32_t weight,
+			  uint64_t print_low);
 const struct target *target_rank_first(const struct target *targets,
 				       uint32_t target_count,
 				       struct flow_print print);
--- a/core/src/flow_choice.c
+++ b/core/src/flow_choice.c
@@ -32,7 +32,7 @@
 /* The best target so far in one grade; a lower grade goes first. */
 struct candidate {
 	uint16_t target_index;
-	double score;
+	uint64_t cost;
 	uint32_t grade;
 };
 
@@ -120,7 +120,7 @@
 {
 	if (a->grade != b->grade)
 		return a->grade < b->grade;
-	return a->score > b->score;
+	return a->cost < b->cost;
 }
 
 /*
@@ -138,7 +138,7 @@
 	const struct pool *pool = &history->pools[0];
 	struct bounds bounds = work_out_bounds(director, pool);
 	struct candidate best = {TARGET_INDEX_NONE, 0, GRADE_NEVER};
-	double default_score = -1;
+	uint64_t default_cost = UINT64_MAX;
 
 	*reason = REASON_NO_TARGET;
 	for (uint32_t i = 0; i < pool->member_count; i++) {
@@ -147,13 +147,13 @@
 					      GRADE_NEVER};
 		enum reason against;
 
-		candidate.score = target_rank_score(member->target_id,
-						    member->weight, print_low);
+		candidate.cost = target_rank_cost(member->target_id,
+						  member->weight, print_low);
 		candidate.grade = grade_of(
 			target_book_at(director->book, member->target_index),
 			member->weight, &bounds, &against);
-		if (candidate.score > default_score) {
-			default_score = candidate.score;
+		if (candidate.cost < default_cost) {
+			default_cost = candidate.cost;
 			*reason = against;
 		}
 		if (is_better(&candidate, &best))
@@ -162,7 +162,7 @@
 	if (best.grade == GRADE_NEVER) {
 		best.target_index = TARGET_INDEX_NONE;
 		*reason = REASON_NO_TARGET;
-	} else if (best.score == default_score) {
+	} else if (best.cost == default_cost) {
 		*reason = REASON_TABLE_DEFAULT;
 	}
 	return best.target_index;
--- a/core/src/flow_director.c
+++ b/core/src/flow_director.c
@@ -64,6 +64,7 @@
 	g_hash_table_destroy(director->prepared);
 	flow_table_free(director->table);
 	target_book_free(director->book);
+	address_map_free(director->addresses);
 	rule_set_free(director->rules);
 	node_view_free(director->view);
 	home_map_free(director->homes);
@@ -133,8 +134,10 @@
 {
 	if (director->rules && rule_set_revision(rules) < director->revision)
 		return;
+	address_map_free(director->addresses);
 	rule_set_free(director->rules);
 	director->rules = rule_set_copy(rules);
+	director->addresses = address_map_new(director->rules);
 	director->revision = rule_set_revision(rules);
 	for (uint32_t i = 0; i < rule_set_count(director->rules); i++)
 		follow_rule(director, rule_set_at(director->rules, i), now_ms);
--- a/core/src/flow_director_state.h
+++ b/core/src/flow_director_state.h
@@ -1,6 +1,8 @@
 #ifndef CORE_FLOW_DIRECTOR_STATE_H
 #define CORE_FLOW_DIRECTOR_STATE_H
 
+#include "address_map.h"
+
 #include <core/flow_director.h>
 #include <core/flow_outbox.h>
 #include <core/flow_table.h>
@@ -40,6 +42,7 @@
 struct flow_director {
 	struct flow_director_options options;
 	struct rule_set *rules;
+	struct address_map *addresses;
 	uint64_t revision;
 	struct node_view *view;
 	struct home_map *homes;
--- a/core/src/flow_key.c
+++ b/core/src/flow_key.c
@@ -1,3 +1,4 @@
+#define XXH_INLINE_ALL
 #include <core/flow_key.h>
 
 #include <string.h>
--- a/core/src/flow_packet.c
+++ b/core/src/flow_packet.c
@@ -8,7 +8,7 @@
 struct packet_case {
 	const struct packet_event *event;
 	const struct rule *rule;
-	struct flow_print print;
+	uint64_t print_low;
 	uint16_t slot_number;
 	struct director_slot *slot;
 	const struct slot_homes *homes;
@@ -172,11 +172,11 @@
 				  enum flow_state state)
 {
 	struct flow_record *record =
-		flow_table_find(director->table, packet->print);
+		flow_table_find(director->table, packet->print_low);
 
 	if (!record)
-		return flow_table_insert(director->table, packet->print, state,
-					 packet->now_ms);
+		return flow_table_insert(director->table, packet->print_low,
+					 state, packet->now_ms);
 	flow_director_uncount(director, record);
 	record->is_mirror = false;
 	record->is_guess = false;
@@ -209,7 +209,7 @@
 {
 	enum reason reason;
 	uint16_t target_index = flow_director_choose(
-		director, history, packet->print.low, &reason);
+		director, history, packet->print_low, &reason);
 	struct flow_record *record;
 
 	if (target_index == TARGET_INDEX_NONE)
@@ -240,7 +240,7 @@
 {
 	const struct pool *pool = flow_director_base_pool(
 		director, history, packet->slot_number, packet->now_ms);
-	uint16_t target_index = pool_default(pool, packet->print.low);
+	uint16_t target_index = pool_default(pool, packet->print_low);
 	enum reason reason =
 		pool == &history->pools[0] &&
 				packet->slot->base_until_ms <= packet->now_ms
@@ -314,7 +314,7 @@
 			      const struct packet_case *packet)
 {
 	struct flow_record *record =
-		flow_table_find(director->table, packet->print);
+		flow_table_find(director->table, packet->print_low);
 	enum reason reason;
 	uint64_t node_id;
 
@@ -339,17 +339,19 @@
 {
 	struct packet_case packet = {.event = event, .now_ms = now_ms};
 
+	packet.print_low =
+		flow_key_print(&event->key, director->options.flow_seed).low;
+	flow_table_prefetch(director->table, packet.print_low);
 	director->now_ms = now_ms;
 	flow_director_notice_pause(director, now_ms);
-	if (director->rules)
-		packet.rule = rule_set_by_address(director->rules,
-						  &event->key.service);
+	if (director->addresses)
+		packet.rule = address_map_find(director->addresses,
+					       &event->key.service);
 	if (!packet.rule)
 		return drop(REASON_NO_SERVICE, SERVICE_NONE);
 	if (director->is_stale || !director->view)
 		return drop(REASON_STALE_VIEW, packet.rule->service.service_id);
-	packet.print = flow_key_print(&event->key, director->options.flow_seed);
-	packet.slot_number = home_slot(packet.print.low);
+	packet.slot_number = home_slot(packet.print_low);
 	packet.slot = &director->slots[packet.slot_number];
 	packet.homes = home_map_at(director->homes, packet.slot_number);
 	return place(director, &packet);
--- a/core/src/flow_receive.c
+++ b/core/src/flow_receive.c
@@ -28,11 +28,10 @@
 				       int64_t now_ms)
 {
 	struct flow_record *record =
-		flow_table_find_low(director->table, print_low);
-	struct flow_print print = {.high = 0, .low = print_low};
+		flow_table_find(director->table, print_low);
 
 	if (!record)
-		return flow_table_insert(director->table, print,
+		return flow_table_insert(director->table, print_low,
 					 FLOW_ESTABLISHED, now_ms);
 	if (!may_replace(record, kind))
 		return NULL;
--- a/core/src/flow_table.c
+++ b/core/src/flow_table.c
@@ -116,14 +116,15 @@
 	return (index + 1) & (table->bucket_count - 1);
 }
 
-static uint32_t check_of(struct flow_print print)
+/* Starts to fetch the bucket of a flow that will be looked for soon. */
+void flow_table_prefetch(const struct flow_table *table, uint64_t print_low)
 {
-	return (uint32_t)print.high | 1;
+	__builtin_prefetch(&table->buckets[bucket_of(table, print_low)]);
 }
 
-/* Finds a record by the half of the print that other nodes send, or NULL. */
-struct flow_record *flow_table_find_low(struct flow_table *table,
-					uint64_t print_low)
+/* Finds the record of a flow, or NULL. */
+struct flow_record *flow_table_find(struct flow_table *table,
+				    uint64_t print_low)
 {
 	uint32_t index = bucket_of(table, print_low);
 
@@ -135,49 +136,31 @@
 	return NULL;
 }
 
-/*
- * Finds the record of a flow, or NULL. A record learned from another node
- * takes over the rest of the print from the first packet that finds it.
- */
-struct flow_record *flow_table_find(struct flow_table *table,
-				    struct flow_print print)
-{
-	struct flow_record *record = flow_table_find_low(table, print.low);
-
-	if (!record)
-		return NULL;
-	if (record->print_check == 0)
-		record->print_check = check_of(print);
-	return record->print_check == check_of(print) ? record : NULL;
-}
-
 /*
  * Adds a record for a flow that has none, or returns NULL when the table is
- * full or another flow has the same lower half. A print with no upper half
- * makes a record whose check is not known yet. The record stays valid until
- * the next sweep.
+ * full or the flow has one. The record stays valid until the next sweep.
  */
 struct flow_record *flow_table_insert(struct flow_table *table,
-				      struct flow_print print,
-				      enum flow_state state, int64_t now_ms)
+				      uint64_t print_low, enum flow_state state,
+				      int64_t now_ms)
 {
-	uint32_t index = bucket_of(table, print.low);
+	uint32_t index = bucket_of(table, print_low);
 	struct flow_record *record;
 
 	if (table->count >= table->capacity)
 		return NULL;
 	while (table->buckets[index].is_used) {
-		if (table->buckets[index].print_low == print.low)
+		if (table->buckets[index].print_low == print_low)
 			return NULL;
 		index = next_bucket(table, index);
 	}
 	record = &table->buckets[index];
-	memset(record, 0, sizeof(*record));
-	record->is_used = true;
-	record->print_low = print.low;
-	record->print_check = print.high ? check_of(print) : 0;
-	record->state = state;
-	record->last_seen_ds = (uint32_t)(now_ms / MS_PER_DS);
+	*record = (struct flow_record){
+		.print_low = print_low,
+		.last_seen_ds = (uint32_t)(now_ms / MS_PER_DS),
+		.state = state,
+		.is_used = true,
+	};
 	table->count++;
 	table->embryonic_count += state == FLOW_EMBRYONIC;
 	return record;
--- a/core/src/target_rank.c
+++ b/core/src/target_rank.c
@@ -1,24 +1,45 @@
+#define XXH_INLINE_ALL
 #include <core/target_rank.h>
 
-#include <math.h>
+#include "log2_table.h"
+
 #include <xxhash.h>
 
-#define SCORE_MANTISSA_BITS 53
+#define HASH_BITS 64
+#define COST_SHIFT 24
+
+/*
+ * -log2(hash / 2^64) in units of 2^-26, from a table with linear
+ * interpolation: integers, so that every build on every machine agrees.
+ */
+static uint64_t negative_log2(uint64_t hash)
+{
+	uint32_t zeros = (uint32_t)__builtin_clzll(hash | 1);
+	uint64_t mantissa = hash << zeros << 1;
+	uint32_t index = (uint32_t)(mantissa >> (HASH_BITS - LOG2_TABLE_BITS));
+	uint64_t rest = (mantissa << LOG2_TABLE_BITS) >> (HASH_BITS - 32);
+	uint64_t low = log2_table[index];
+	uint64_t step = log2_table[index + 1] - low;
+	uint64_t fraction = low + (step * rest >> 32);
+
+	return ((uint64_t)(zeros + 1) << LOG2_FRACTION_BITS) - fraction;
+}
 
 /*
- * The score of weighted rendezvous hashing (Schindelhauer and Schomaker,
- * 2005): -weight / ln(h) with h uniform in (0, 1). The highest score wins; a
- * change of one target's weight moves flows to or from that target only.
+ * The cost of a target for a flow in weighted rendezvous hashing
+ * (Schindelhauer and Schomaker, 2005): -log(h) / weight with h uniform in
+ * (0, 1). The lowest cost wins; a change of one target's weight moves flows to
+ * or from that target only. A target without weight costs most.
  */
-double target_rank_score(uint64_t target_id, uint32_t weight,
-			 uint64_t print_low)
+uint64_t target_rank_cost(uint64_t target_id, uint32_t weight,
+			  uint64_t print_low)
 {
 	uint64_t input[2] = {target_id, print_low};
 	uint64_t hash = XXH3_64bits(input, sizeof(input));
-	double uniform = ((double)(hash >> (64 - SCORE_MANTISSA_BITS)) + 0.5) /
-			 (double)(1ULL << SCORE_MANTISSA_BITS);
 
-	return -(double)weight / log(uniform);
+	if (weight == 0)
+		return UINT64_MAX;
+	return (negative_log2(hash) << COST_SHIFT) / weight;
 }
 
 /*
@@ -30,18 +51,18 @@
 				       struct flow_print print)
 {
 	const struct target *best = NULL;
-	double best_score = 0;
+	uint64_t best_cost = 0;
 
 	for (uint32_t i = 0; i < target_count; i++) {
-		double target_score;
+		uint64_t cost;
 
 		if (targets[i].state != TARGET_SERVING)
 			continue;
-		target_score = target_rank_score(targets[i].target_id,
-						 targets[i].weight, print.low);
-		if (!best || target_score > best_score) {
+		cost = target_rank_cost(targets[i].target_id, targets[i].weight,
+					print.low);
+		if (!best || cost < best_cost) {
 			best = &targets[i];
-			best_score = target_score;
+			best_cost = cost;
 		}
 	}
 	return best;
--- a/ctl/include/ctl/bench.h
+++ b/ctl/include/ctl/bench.h
@@ -11,5 +11,7 @@
 };
 
 extern const struct bench bench_decide;
+extern const struct bench bench_flows;
+extern const struct bench bench_flow_pairs;
 
 #endif
--- a/ctl/src/bench_command.c
+++ b/ctl/src/bench_command.c
@@ -6,6 +6,8 @@
 
 static const struct bench *const benches[] = {
 	&bench_decide,
+	&bench_flows,
+	&bench_flow_pairs,
 };
 
 #define BENCH_COUNT (sizeof(benches) / sizeof(benches[0]))
--- a/fakes/src/flow_change.c
+++ b/fakes/src/flow_change.c
@@ -1,6 +1,6 @@
 #include <fakes/flow_change.h>
 
-#define SETTLE_MS 45000
+#define SETTLE_MS 35000
 #define REPLACE_SETTLE_MS 150000
 #define WEIGHT 3
 #define LEAVING_TARGET 3
--- a/fakes/src/flow_fleet_traffic.c
+++ b/fakes/src/flow_fleet_traffic.c
@@ -119,12 +119,15 @@
 				      uint32_t node)
 {
 	struct packet_event event = make_event(flow);
-	const struct rule *rule = rule_set_by_address(fleet->nodes[node].rules,
-						      &event.key.service);
-	const struct target *target =
-		target_rank_first(rule->targets, rule->target_count,
-				  flow_key_print(&event.key, 0));
-
+	const struct rule *rule;
+	const struct target *target;
+
+	if (!fleet->nodes[node].rules)
+		return (struct placement){.kind = PLACE_DROP};
+	rule = rule_set_by_address(fleet->nodes[node].rules,
+				   &event.key.service);
+	target = target_rank_first(rule->targets, rule->target_count,
+				   flow_key_print(&event.key, 0));
 	return (struct placement){
 		.kind = PLACE_TO_TARGET,
 		.reason = REASON_TABLE_DEFAULT,
--- /dev/null
+++ b/wire/src/flow_codec.c
@@ -0,0 +1,316 @@
+#include <wire/flow_codec.h>
+
+#include <flows.h>
+#include <string.h>
+#include <wire/procedure.h>
+#include <wire/wire_error.h>
+
+#define BODY_BYTES_MAX 4096
+#define V4_BYTES 4
+#define ENTRY_BYTES 9
+#define SLOT_BYTES 2
+#define BYTE_BITS 8
+
+/* The arrays that the generated types point into. */
+struct wire_arrays {
+	flow_target_wire targets[FLOW_MESSAGE_TARGETS_MAX];
+	uint8_t entries[FLOW_MESSAGE_ENTRIES_MAX * ENTRY_BYTES];
+	uint8_t slots[FLOW_MESSAGE_SLOTS_MAX * SLOT_BYTES];
+};
+
+/* Returns the procedure that carries messages between flow directors. */
+uint32_t flow_codec_procedure(void)
+{
+	return PROCEDURE_FLOWS_FIRST;
+}
+
+static void write_target(flow_target_wire *wire, const struct target *target)
+{
+	const struct ip_addr *addr = &target->endpoint.addr;
+
+	wire->addr.addr_val = (char *)addr->bytes;
+	wire->addr.addr_len = addr->is_v6 ? IP_ADDR_BYTES : V4_BYTES;
+	wire->port = target->endpoint.port;
+	wire->incarnation = target->incarnation;
+	wire->service_id = target->service_id;
+	wire->weight = target->weight;
+	wire->zone_id = target->zone_id;
+	wire->state = (u_int)target->state;
+}
+
+static void write_number(uint8_t *out, uint64_t value, uint32_t size_bytes)
+{
+	for (uint32_t i = 0; i < size_bytes; i++)
+		out[i] = (uint8_t)(value >> BYTE_BITS * (size_bytes - 1 - i));
+}
+
+static uint64_t read_number(const uint8_t *in, uint32_t size_bytes)
+{
+	uint64_t value = 0;
+
+	for (uint32_t i = 0; i < size_bytes; i++)
+		value = value << BYTE_BITS | in[i];
+	return value;
+}
+
+static void write_arrays(struct wire_arrays *arrays,
+			 const struct flow_message *message)
+{
+	for (uint32_t i = 0; i < message->target_count; i++)
+		write_target(&arrays->targets[i], &message->targets[i]);
+	for (uint32_t i = 0; i < message->entry_count; i++) {
+		uint8_t *out = arrays->entries + (size_t)i * ENTRY_BYTES;
+
+		write_number(out, message->entries[i].print_low,
+			     sizeof(uint64_t));
+		out[ENTRY_BYTES - 1] = message->entries[i].target_index;
+	}
+	for (uint32_t i = 0; i < message->slot_count; i++)
+		write_number(arrays->slots + (size_t)i * SLOT_BYTES,
+			     message->slots[i], SLOT_BYTES);
+}
+
+static void write_entries(flow_body_wire *body, struct wire_arrays *arrays,
+			  const struct flow_message *message)
+{
+	flow_entries_wire *wire = &body->flow_body_wire_u.entries;
+
+	wire->targets.targets_val = arrays->targets;
+	wire->targets.targets_len = message->target_count;
+	wire->entries.entries_val = (char *)arrays->entries;
+	wire->entries.entries_len = message->entry_count * ENTRY_BYTES;
+}
+
+static void write_pool(flow_body_wire *body, struct wire_arrays *arrays,
+		       const struct flow_message *message)
+{
+	flow_pool_wire *wire = &body->flow_body_wire_u.pool;
+
+	wire->service_id = message->service_id;
+	wire->generation = message->generation;
+	wire->pool_count = message->pool_count;
+	wire->targets.targets_val = arrays->targets;
+	wire->targets.targets_len = message->target_count;
+}
+
+static void write_targets(flow_body_wire *body, struct wire_arrays *arrays,
+			  const struct flow_message *message)
+{
+	flow_targets_wire *wire = &body->flow_body_wire_u.targets;
+
+	wire->targets.targets_val = arrays->targets;
+	wire->targets.targets_len = message->target_count;
+}
+
+static void write_done(flow_body_wire *body, struct wire_arrays *arrays,
+		       const struct flow_message *message)
+{
+	flow_done_wire *wire = &body->flow_body_wire_u.done;
+
+	wire->revision = message->revision;
+	wire->base_revision = message->base_revision;
+	wire->base_remaining_ms = message->base_remaining_ms;
+	wire->slots.slots_val = (char *)arrays->slots;
+	wire->slots.slots_len = message->slot_count * SLOT_BYTES;
+}
+
+static void write_ack(flow_body_wire *body, struct wire_arrays *arrays,
+		      const struct flow_message *message)
+{
+	body->flow_body_wire_u.ack_mask = message->ack_mask;
+}
+
+static bool read_target(struct target *target, const flow_target_wire *wire)
+{
+	struct ip_addr *addr = &target->endpoint.addr;
+
+	if (wire->addr.addr_len != V4_BYTES &&
+	    wire->addr.addr_len != IP_ADDR_BYTES)
+		return false;
+	if (wire->port > UINT16_MAX || wire->state >= TARGET_STATE_COUNT)
+		return false;
+	memcpy(addr->bytes, wire->addr.addr_val, wire->addr.addr_len);
+	addr->is_v6 = wire->addr.addr_len == IP_ADDR_BYTES;
+	target->endpoint.port = (uint16_t)wire->port;
+	target->incarnation = wire->incarnation;
+	target->service_id = wire->service_id;
+	target->weight = wire->weight;
+	target->zone_id = wire->zone_id;
+	target->state = (enum target_state)wire->state;
+	target->target_id = target_id_of(target);
+	return true;
+}
+
+static bool read_target_list(struct flow_message *message,
+			     const flow_target_wire *targets, u_int count)
+{
+	for (u_int i = 0; i < count; i++) {
+		if (!read_target(&message->targets[i], &targets[i]))
+			return false;
+	}
+	message->target_count = count;
+	return true;
+}
+
+static bool read_entries(struct flow_message *message,
+			 const flow_body_wire *body)
+{
+	const flow_entries_wire *wire = &body->flow_body_wire_u.entries;
+	const uint8_t *in = (const uint8_t *)wire->entries.entries_val;
+
+	if (wire->entries.entries_len % ENTRY_BYTES != 0)
+		return false;
+	message->entry_count = wire->entries.entries_len / ENTRY_BYTES;
+	for (uint32_t i = 0; i < message->entry_count; i++) {
+		message->entries[i].print_low =
+			read_number(in, sizeof(uint64_t));
+		message->entries[i].target_index = in[ENTRY_BYTES - 1];
+		in += ENTRY_BYTES;
+	}
+	return read_target_list(message, wire->targets.targets_val,
+				wire->targets.targets_len);
+}
+
+static bool read_pool(struct flow_message *message, const flow_body_wire *body)
+{
+	const flow_pool_wire *wire = &body->flow_body_wire_u.pool;
+
+	message->service_id = wire->service_id;
+	message->generation = wire->generation;
+	message->pool_count = wire->pool_count;
+	return read_target_list(message, wire->targets.targets_val,
+				wire->targets.targets_len);
+}
+
+static bool read_targets(struct flow_message *message,
+			 const flow_body_wire *body)
+{
+	const flow_targets_wire *wire = &body->flow_body_wire_u.targets;
+
+	return read_target_list(message, wire->targets.targets_val,
+				wire->targets.targets_len);
+}
+
+static bool read_done(struct flow_message *message, const flow_body_wire *body)
+{
+	const flow_done_wire *wire = &body->flow_body_wire_u.done;
+	const uint8_t *in = (const uint8_t *)wire->slots.slots_val;
+
+	if (wire->slots.slots_len % SLOT_BYTES != 0)
+		return false;
+	message->revision = wire->revision;
+	message->base_revision = wire->base_revision;
+	message->base_remaining_ms = wire->base_remaining_ms;
+	message->slot_count = wire->slots.slots_len / SLOT_BYTES;
+	for (uint32_t i = 0; i < message->slot_count; i++)
+		message->slots[i] = (uint16_t)read_number(
+			in + (size_t)i * SLOT_BYTES, SLOT_BYTES);
+	return true;
+}
+
+static bool read_ack(struct flow_message *message, const flow_body_wire *body)
+{
+	message->ack_mask = body->flow_body_wire_u.ack_mask;
+	return true;
+}
+
+/* How the body of each kind is written and read. */
+static const struct {
+	void (*write)(flow_body_wire *body, struct wire_arrays *arrays,
+		      const struct flow_message *message);
+	bool (*read)(struct flow_message *message, const flow_body_wire *body);
+} kinds[FLOW_MESSAGE_KIND_COUNT] = {
+	[FLOW_MIRROR] = {write_entries, read_entries},
+	[FLOW_HANDOVER] = {write_entries, read_entries},
+	[FLOW_POOL] = {write_pool, read_pool},
+	[FLOW_TARGETS] = {write_targets, read_targets},
+	[FLOW_DONE] = {write_done, read_done},
+	[FLOW_ACK] = {write_ack, read_ack},
+};
+
+/*
+ * Writes the body of a message. The caller frees the bytes. Fails with
+ * WIRE_ERROR_TOO_LARGE.
+ */
+GByteArray *flow_codec_encode(const struct flow_message *message,
+			      GError **error)
+{
+	struct wire_arrays arrays = {0};
+	flow_message_wire wire = {
+		.format_version = FLOW_MESSAGE_VERSION,
+		.sequence = message->sequence,
+		.body = {.kind = (u_int)message->kind},
+	};
+	char bytes[BODY_BYTES_MAX];
+	GByteArray *encoded;
+	XDR xdrs;
+
+	write_arrays(&arrays, message);
+	kinds[message->kind].write(&wire.body, &arrays, message);
+	xdrmem_create(&xdrs, bytes, sizeof(bytes), XDR_ENCODE);
+	if (!xdr_flow_message_wire(&xdrs, &wire)) {
+		g_set_error_literal(error, WIRE_ERROR, WIRE_ERROR_TOO_LARGE,
+				    "flow message too large");
+		return NULL;
+	}
+	encoded = g_byte_array_new();
+	g_byte_array_append(encoded, (const guint8 *)bytes, xdr_getpos(&xdrs));
+	return encoded;
+}
+
+/* Looks at version and kind before anything else is believed. */
+static bool check_head(const uint8_t *bytes, uint32_t length_bytes,
+		       GError **error)
+{
+	const uint32_t kind_at = 2 * sizeof(uint32_t);
+
+	if (length_bytes < kind_at + sizeof(uint32_t)) {
+		g_set_error_literal(error, WIRE_ERROR, WIRE_ERROR_TRUNCATED,
+				    "flow message truncated");
+		return false;
+	}
+	if (read_number(bytes, sizeof(uint32_t)) < FLOW_MESSAGE_VERSION ||
+	    read_number(bytes + kind_at, sizeof(uint32_t)) >=
+		    FLOW_MESSAGE_KIND_COUNT) {
+		g_set_error_literal(error, WIRE_ERROR, WIRE_ERROR_VERSION,
+				    "flow message of an unknown kind");
+		return false;
+	}
+	return true;
+}
+
+static bool read_wire(struct flow_message *message,
+		      const flow_message_wire *wire)
+{
+	message->kind = (enum flow_message_kind)wire->body.kind;
+	message->sequence = wire->sequence;
+	return kinds[wire->body.kind].read(message, &wire->body) &&
+	       flow_message_is_valid(message);
+}
+
+/*
+ * Reads the body of a message. A later version may append fields, which are
+ * ignored; a kind that only it knows fails with WIRE_ERROR_VERSION. Other
+ * bytes fail with WIRE_ERROR_TRUNCATED or WIRE_ERROR_MALFORMED.
+ */
+bool flow_codec_decode(struct flow_message *message, const uint8_t *bytes,
+		       uint32_t length_bytes, GError **error)
+{
+	flow_message_wire wire = {0};
+	bool is_valid;
+	XDR xdrs;
+
+	memset(message, 0, sizeof(*message));
+	if (!check_head(bytes, length_bytes, error))
+		return false;
+	xdrmem_create(&xdrs, (char *)bytes, length_bytes, XDR_DECODE);
+	is_valid = xdr_flow_message_wire(&xdrs, &wire) &&
+		   (wire.format_version > FLOW_MESSAGE_VERSION ||
+		    xdr_getpos(&xdrs) == length_bytes) &&
+		   read_wire(message, &wire);
+	xdr_free((xdrproc_t)xdr_flow_message_wire, (char *)&wire);
+	if (!is_valid)
+		g_set_error_literal(error, WIRE_ERROR, WIRE_ERROR_MALFORMED,
+				    "flow message malformed");
+	return is_valid;
+}
