--- a/ctl/include/ctl/bench.h
+++ b/ctl/include/ctl/bench.h
@@ -10,8 +10,11 @@
 	void (*run)(struct bench_report *report);
 };
 
+extern const struct bench bench_config;
 extern const struct bench bench_decide;
 extern const struct bench bench_flows;
 extern const struct bench bench_flow_pairs;
+extern const struct bench bench_path;
+extern const struct bench bench_flood;
 
 #endif
--- a/ctl/src/demo_run.c
+++ b/ctl/src/demo_run.c
@@ -1,9 +1,9 @@
 #include "demo_run.h"
 
-#include "demo_targets.h"
+#include "demo_drain.h"
 
 #include <ctl/command.h>
-#include <ctl/load_task.h>
+#include <ctl/load_report.h>
 #include <fakes/fake_fabric.h>
 #include <glib.h>
 #include <inttypes.h>
@@ -31,8 +31,11 @@
 struct demo {
 	const struct demo_options *options;
 	struct demo_targets *targets;
+	struct demo_platform *platform;
+	struct demo_drain drain;
 	struct fake_fabric *fabric;
 	struct load_task *load;
+	struct load_options load_options;
 };
 
 /* What goes wrong in a run, by kind. */
@@ -64,7 +67,7 @@
 
 static bool start_load(struct demo *demo, GError **error)
 {
-	struct load_options options = {
+	demo->load_options = (struct load_options){
 		.nodes = demo->options->requests,
 		.node_count = demo->options->node_count,
 		.classes = classes,
@@ -77,7 +80,7 @@
 		.is_echo_checked = true,
 	};
 
-	demo->load = load_task_new(&options, error);
+	demo->load = load_task_new(&demo->load_options, error);
 	return demo->load != NULL;
 }
 
@@ -104,6 +107,10 @@
 	for (uint32_t i = 1; i <= demo->options->duration_s; i++) {
 		g_usleep(US_PER_S);
 		print_progress(demo, i);
+		if (i == demo->drain.start_s)
+			demo_targets_print_imbalance(demo->targets,
+						     demo->fabric);
+		demo_drain_second(&demo->drain, i);
 	}
 	load_task_join(demo->load);
 }
@@ -111,21 +118,10 @@
 static void collect(const struct demo *demo, struct demo_verdict *verdict)
 {
 	fake_fabric_finish(demo->fabric, GRACE_MS, &verdict->flows);
-	for (uint32_t i = 0; i < G_N_ELEMENTS(classes); i++) {
-		const struct load_result *result =
-			load_task_result(demo->load, i);
-
-		for (int j = 0; j < LOAD_OUTCOME_COUNT; j++)
-			verdict->outcome_counts[j] += result->outcome_counts[j];
-		printf("%-14s%6" PRIu64 " requests, p50 %.2f ms, p99 %.2f ms\n",
-		       classes[i].name, result->sent_count,
-		       (double)latency_histogram_percentile_us(
-			       result->latencies, 50) /
-			       MS_PER_S,
-		       (double)latency_histogram_percentile_us(
-			       result->latencies, 99) /
-			       MS_PER_S);
-	}
+	for (int i = 0; i < LOAD_OUTCOME_COUNT; i++)
+		verdict->outcome_counts[i] = load_report_outcome_count(
+			demo->load, &demo->load_options, (enum load_outcome)i);
+	load_report_print(demo->load, &demo->load_options, stdout);
 }
 
 static int report(const struct demo *demo, const struct demo_verdict *verdict)
@@ -133,6 +129,7 @@
 	uint64_t wrong = verdict->outcome_counts[LOAD_WRONG] +
 			 verdict->outcome_counts[LOAD_BROKEN] +
 			 verdict->outcome_counts[LOAD_REJECTED];
+	bool is_good;
 
 	for (int i = 0; i < LOAD_OUTCOME_COUNT; i++)
 		printf("%s=%" PRIu64 " ",
@@ -140,21 +137,52 @@
 		       verdict->outcome_counts[i]);
 	printf("\npackets: %" PRIu64 " sent, %" PRIu64 " arrived\n",
 	       verdict->flows.sent_count, verdict->flows.arrived_count);
-	demo_targets_print_imbalance(demo->targets, demo->fabric);
 	printf("broken flows: %" PRIu64 " of %" PRIu64 "\n"
 	       "wrong answers: %" PRIu64 "\n",
 	       verdict->flows.broken_count, verdict->flows.flow_count, wrong);
-	return verdict->flows.broken_count + wrong == 0 &&
-			       verdict->outcome_counts[LOAD_WHOLE] > 0
-		       ? EXIT_CODE_DONE
-		       : EXIT_CODE_FAILED;
+	is_good = demo_drain_report(&demo->drain) && wrong == 0 &&
+		  verdict->flows.broken_count == 0 &&
+		  verdict->outcome_counts[LOAD_WHOLE] > 0;
+	return is_good ? EXIT_CODE_DONE : EXIT_CODE_FAILED;
 }
 
-static bool start(struct demo *demo, GError **error)
+static bool start_platform(struct demo *demo, GError **error)
 {
 	demo->targets = demo_targets_new(demo->options->rules_path, error);
-	return demo->targets && start_fabric(demo, error) &&
-	       start_load(demo, error);
+	if (!demo->targets)
+		return false;
+	demo->platform = demo_platform_new(demo->options, demo->targets, error);
+	return demo->platform != NULL;
+}
+
+/* Whoever started the nodes says when they have the rules. */
+static void wait_for_word(void)
+{
+	printf("waiting for a line on standard input\n");
+	fflush(stdout);
+	while (getchar() > '\n')
+		;
+}
+
+static bool start_traffic(struct demo *demo, GError **error)
+{
+	if (!start_fabric(demo, error) || !start_load(demo, error))
+		return false;
+	demo->drain = (struct demo_drain){
+		.platform = demo->platform,
+		.targets = demo->targets,
+		.fabric = demo->fabric,
+		.start_s = demo->options->duration_s / 2,
+	};
+	return true;
+}
+
+static bool start(struct demo *demo, GError **error)
+{
+	if (!start_platform(demo, error))
+		return false;
+	wait_for_word();
+	return start_traffic(demo, error);
 }
 
 /* Runs the demo and returns the process's exit code. */
@@ -175,6 +203,7 @@
 		g_error_free(error);
 	}
 	load_task_free(demo.load);
+	demo_platform_free(demo.platform);
 	demo_targets_free(demo.targets);
 	fake_fabric_free(demo.fabric);
 	return code;
