--- a/core/src/flow_director.c
+++ b/core/src/flow_director.c
@@ -43,6 +43,8 @@
 	director->table = flow_table_new(options->flow_capacity);
 	director->book = target_book_new();
 	director->histories = g_hash_table_new(g_direct_hash, g_direct_equal);
+	director->prepared = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						   g_free, g_free);
 	director->outbox = make_outbox(director);
 	director->slots = g_new0(struct director_slot, HOME_SLOT_COUNT);
 	for (uint32_t i = 0; i < HOME_SLOT_COUNT; i++)
@@ -59,8 +61,10 @@
 		return;
 	free_histories(director);
 	flow_outbox_free(director->outbox);
+	g_hash_table_destroy(director->prepared);
 	flow_table_free(director->table);
 	target_book_free(director->book);
+	address_map_free(director->addresses);
 	rule_set_free(director->rules);
 	node_view_free(director->view);
 	home_map_free(director->homes);
@@ -130,8 +134,10 @@
 {
 	if (director->rules && rule_set_revision(rules) < director->revision)
 		return;
+	address_map_free(director->addresses);
 	rule_set_free(director->rules);
 	director->rules = rule_set_copy(rules);
+	director->addresses = address_map_new(director->rules);
 	director->revision = rule_set_revision(rules);
 	for (uint32_t i = 0; i < rule_set_count(director->rules); i++)
 		follow_rule(director, rule_set_at(director->rules, i), now_ms);
@@ -303,6 +309,8 @@
 	for (uint32_t i = 0; i < HOME_SLOT_COUNT; i++) {
 		struct director_slot *slot = &director->slots[i];
 
+		if (slot->given_to != NODE_NONE)
+			continue;
 		slot->epoch = slot->epoch == UINT8_MAX ? 1 : slot->epoch + 1;
 	}
 	flow_director_start_pass(director);
