--- a/core/src/rules_replica.c
+++ b/core/src/rules_replica.c
@@ -82,15 +82,19 @@
 	return former ? rule_copy(former) : NULL;
 }
 
-/* Two sets never give one address to two rules; the newer rule has it. */
-static bool has_free_addresses(const struct rule_set *set,
-			       const struct rule *rule)
+/*
+ * Takes the addresses off a rule that a newer one has already; while an
+ * address moves, the former owner may still be on its way with the old text.
+ */
+static void strip_taken(struct rule *rule, const struct rule_set *set)
 {
+	uint32_t kept = 0;
+
 	for (uint32_t i = 0; i < rule->address_count; i++) {
-		if (rule_set_by_address(set, &rule->addresses[i]))
-			return false;
+		if (!rule_set_by_address(set, &rule->addresses[i]))
+			rule->addresses[kept++] = rule->addresses[i];
 	}
-	return true;
+	rule->address_count = kept;
 }
 
 static void settle_line(struct rules_replica *replica, struct rule_set *set,
@@ -108,7 +112,8 @@
 	}
 	if (!rule)
 		return;
-	if (has_free_addresses(set, rule)) {
+	strip_taken(rule, set);
+	if (rule->address_count > 0) {
 		rule_set_add(set, rule);
 		return;
 	}
--- /dev/null
+++ b/core/test/rules_sync_test.c
@@ -0,0 +1,287 @@
+#include <core/rules_sync.h>
+#include <fakes/test_main.h>
+#include <string.h>
+
+#define STEP_MAX 14
+
+enum action {
+	ACTION_END,
+	ACTION_SAVE,
+	ACTION_READ,
+	ACTION_READ_FAILS,
+	ACTION_WRITE,
+	ACTION_WRITE_UNKNOWN,
+	ACTION_REQUEST_LOST,
+	ACTION_LATE_WRITE,
+	ACTION_OTHER,
+	ACTION_RETRY,
+	ACTION_EXPECT_VERDICT,
+	ACTION_EXPECT_STORED,
+};
+
+/* text is a version of the line that is saved, written or expected. */
+struct step {
+	enum action action;
+	const char *text;
+};
+
+static const struct {
+	const char *name;
+	struct step steps[STEP_MAX];
+} rows[] = {
+	{"written",
+	 {{ACTION_SAVE, "1"},
+	  {ACTION_READ, NULL},
+	  {ACTION_WRITE, NULL},
+	  {ACTION_EXPECT_VERDICT, "accepted"},
+	  {ACTION_EXPECT_STORED, "1"}}},
+	{"read-fails",
+	 {{ACTION_SAVE, "1"},
+	  {ACTION_READ_FAILS, NULL},
+	  {ACTION_RETRY, NULL},
+	  {ACTION_READ, NULL},
+	  {ACTION_WRITE, NULL},
+	  {ACTION_EXPECT_STORED, "1"}}},
+	{"answer-lost-after-the-effect",
+	 {{ACTION_SAVE, "1"},
+	  {ACTION_READ, NULL},
+	  {ACTION_WRITE_UNKNOWN, NULL},
+	  {ACTION_RETRY, NULL},
+	  {ACTION_READ, NULL},
+	  {ACTION_EXPECT_VERDICT, "accepted"},
+	  {ACTION_EXPECT_STORED, "1"}}},
+	{"request-lost-before-the-effect",
+	 {{ACTION_SAVE, "1"},
+	  {ACTION_READ, NULL},
+	  {ACTION_REQUEST_LOST, NULL},
+	  {ACTION_RETRY, NULL},
+	  {ACTION_READ, NULL},
+	  {ACTION_WRITE, NULL},
+	  {ACTION_EXPECT_VERDICT, "accepted"},
+	  {ACTION_EXPECT_STORED, "1"}}},
+	{"late-write-lands-behind-the-second",
+	 {{ACTION_SAVE, "1"},
+	  {ACTION_READ, NULL},
+	  {ACTION_REQUEST_LOST, NULL},
+	  {ACTION_SAVE, "2"},
+	  {ACTION_RETRY, NULL},
+	  {ACTION_READ, NULL},
+	  {ACTION_WRITE, NULL},
+	  {ACTION_LATE_WRITE, NULL},
+	  {ACTION_EXPECT_STORED, "2"}}},
+	{"late-write-lands-before-the-second",
+	 {{ACTION_SAVE, "1"},
+	  {ACTION_READ, NULL},
+	  {ACTION_REQUEST_LOST, NULL},
+	  {ACTION_SAVE, "2"},
+	  {ACTION_RETRY, NULL},
+	  {ACTION_READ, NULL},
+	  {ACTION_LATE_WRITE, NULL},
+	  {ACTION_WRITE, NULL},
+	  {ACTION_READ, NULL},
+	  {ACTION_WRITE, NULL},
+	  {ACTION_EXPECT_VERDICT, "accepted"},
+	  {ACTION_EXPECT_STORED, "2"}}},
+	{"lost-answer-and-then-changed-by-another",
+	 {{ACTION_SAVE, "1"},
+	  {ACTION_READ, NULL},
+	  {ACTION_WRITE_UNKNOWN, NULL},
+	  {ACTION_OTHER, "9"},
+	  {ACTION_RETRY, NULL},
+	  {ACTION_READ, NULL},
+	  {ACTION_EXPECT_VERDICT, "changed_elsewhere"},
+	  {ACTION_EXPECT_STORED, "9"}}},
+	{"another-comes-first",
+	 {{ACTION_SAVE, "1"},
+	  {ACTION_READ, NULL},
+	  {ACTION_OTHER, "9"},
+	  {ACTION_WRITE, NULL},
+	  {ACTION_READ, NULL},
+	  {ACTION_EXPECT_VERDICT, "conflict"},
+	  {ACTION_EXPECT_STORED, "9"}}},
+	{"saved-again-while-writing",
+	 {{ACTION_SAVE, "1"},
+	  {ACTION_READ, NULL},
+	  {ACTION_SAVE, "2"},
+	  {ACTION_WRITE, NULL},
+	  {ACTION_READ, NULL},
+	  {ACTION_WRITE, NULL},
+	  {ACTION_EXPECT_VERDICT, "accepted"},
+	  {ACTION_EXPECT_STORED, "2"}}},
+};
+
+/* A write on its way, and the store it goes to. */
+struct fixture {
+	struct rules_sync *sync;
+	struct rules_document *store;
+	int64_t mod_revision;
+	struct rules_document *written;
+	int64_t expected_mod_revision;
+	struct rules_document *late;
+	int64_t late_mod_revision;
+	enum rules_verdict verdict;
+	uint64_t now_ms;
+};
+
+static void on_read(void *context)
+{
+}
+
+static void on_write(void *context, const struct rules_document *document,
+		     int64_t expected_mod_revision)
+{
+	struct fixture *fixture = context;
+
+	rules_document_free(fixture->written);
+	fixture->written = rules_document_copy(document);
+	fixture->expected_mod_revision = expected_mod_revision;
+}
+
+static void on_outcome(void *context, const struct rules_merge *merge,
+		       const struct rules_base *base)
+{
+	struct fixture *fixture = context;
+
+	fixture->verdict = rules_merge_at(merge, 0)->verdict;
+}
+
+static bool store_write(struct fixture *fixture,
+			const struct rules_document *document, int64_t expected)
+{
+	if (expected != fixture->mod_revision)
+		return false;
+	rules_document_free(fixture->store);
+	fixture->store = rules_document_copy(document);
+	fixture->mod_revision++;
+	return true;
+}
+
+static char *line_of(const char *version)
+{
+	return g_strdup_printf("desk address=10.0.0.1:80 pool=10.1.0.1:80 "
+			       "# version %s",
+			       version);
+}
+
+static void save(struct fixture *fixture, const char *version)
+{
+	char *line = line_of(version);
+
+	rules_sync_set_text(fixture->sync, rules_text_new(line, strlen(line)));
+	g_free(line);
+}
+
+/* Another operator changes the line as it stands. */
+static void write_other(struct fixture *fixture, const char *version)
+{
+	struct rules_document *document = rules_document_copy(fixture->store);
+	char *text = line_of(version);
+	struct rules_line *line =
+		rules_line_next(rules_document_find(document, "desk"), "desk",
+				text, RULE_FORM_FIRST);
+
+	line->generation = ++fixture->now_ms;
+	rules_document_put(document, line);
+	store_write(fixture, document, fixture->mod_revision);
+	rules_document_free(document);
+	g_free(text);
+}
+
+static void keep_late(struct fixture *fixture)
+{
+	rules_document_free(fixture->late);
+	fixture->late = rules_document_copy(fixture->written);
+	fixture->late_mod_revision = fixture->expected_mod_revision;
+}
+
+static void expect_stored(const struct fixture *fixture, const char *version,
+			  const char *name)
+{
+	const struct rules_line *line =
+		rules_document_find(fixture->store, "desk");
+	char *text = line_of(version);
+
+	ck_assert_msg(line && strcmp(line->text, text) == 0, "%s: stored",
+		      name);
+	g_free(text);
+}
+
+static void run_call(struct fixture *fixture, const struct step *step)
+{
+	bool is_written = false;
+
+	if (step->action == ACTION_WRITE ||
+	    step->action == ACTION_WRITE_UNKNOWN)
+		is_written = store_write(fixture, fixture->written,
+					 fixture->expected_mod_revision);
+	if (step->action == ACTION_READ)
+		rules_sync_take_document(fixture->sync, fixture->store,
+					 fixture->mod_revision,
+					 ++fixture->now_ms);
+	if (step->action == ACTION_READ_FAILS)
+		rules_sync_take_read_failure(fixture->sync);
+	if (step->action == ACTION_WRITE)
+		rules_sync_take_written(fixture->sync, is_written);
+	if (step->action == ACTION_REQUEST_LOST)
+		keep_late(fixture);
+	if (step->action == ACTION_WRITE_UNKNOWN ||
+	    step->action == ACTION_REQUEST_LOST)
+		rules_sync_take_unknown(fixture->sync);
+	if (step->action == ACTION_LATE_WRITE)
+		store_write(fixture, fixture->late, fixture->late_mod_revision);
+}
+
+static void run_step(struct fixture *fixture, const struct step *step,
+		     const char *name)
+{
+	if (step->action == ACTION_SAVE)
+		save(fixture, step->text);
+	else if (step->action == ACTION_OTHER)
+		write_other(fixture, step->text);
+	else if (step->action == ACTION_RETRY)
+		rules_sync_retry(fixture->sync);
+	else if (step->action == ACTION_EXPECT_STORED)
+		expect_stored(fixture, step->text, name);
+	else if (step->action == ACTION_EXPECT_VERDICT)
+		ck_assert_msg(strcmp(rules_verdict_name(fixture->verdict),
+				     step->text) == 0,
+			      "%s: %s", name,
+			      rules_verdict_name(fixture->verdict));
+	else
+		run_call(fixture, step);
+}
+
+START_TEST(test_sync)
+{
+	struct fixture fixture = {.store = rules_document_new()};
+	struct rules_sync_options options = {
+		.seed = 1,
+		.context = &fixture,
+		.read = on_read,
+		.write = on_write,
+		.wait = on_read,
+		.outcome = on_outcome,
+	};
+
+	test_row("rules_sync", rows[_i].name);
+	fixture.sync = rules_sync_new(&options, rules_base_new());
+	for (int i = 0; i < STEP_MAX && rows[_i].steps[i].action; i++)
+		run_step(&fixture, &rows[_i].steps[i], rows[_i].name);
+	ck_assert(rules_sync_is_idle(fixture.sync));
+	rules_sync_free(fixture.sync);
+	rules_document_free(fixture.store);
+	rules_document_free(fixture.written);
+	rules_document_free(fixture.late);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("rules_sync");
+	TCase *tcase = tcase_create("sync");
+
+	tcase_add_loop_test(tcase, test_sync, 0,
+			    sizeof(rows) / sizeof(rows[0]));
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
