--- a/ctl/src/bench_config.c
+++ b/ctl/src/bench_config.c
@@ -9,7 +9,7 @@
 #define ZONE_COUNT 4
 #define OPERATOR_COUNT 3
 #define SERVICE_COUNT 6
-#define STEP_COUNT 60
+#define STEP_COUNT 30
 #define STEP_MS 1000
 #define SETTLE_MS 20000
 #define LOSS_PPM 50000
