--- a/fakes/src/fake_kv.c
+++ b/fakes/src/fake_kv.c
@@ -1,11 +1,10 @@
 #include <fakes/fake_kv.h>
 
 #include "fake_kv_store.h"
-#include "fake_kv_watch.h"
+#include "fake_kv_watches.h"
 #include "http_cut.h"
 
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <inttypes.h>
 #include <pthread.h>
 #include <stdlib.h>
@@ -34,7 +33,7 @@
 	pthread_mutex_t lock;
 	struct fake_kv_store *store;
 	struct fake_kv_fault fault;
-	GPtrArray *watches;
+	struct fake_kv_watches *watches;
 	GPtrArray *late_answers;
 	uint64_t read_count;
 	uint64_t write_count;
@@ -142,65 +141,18 @@
 	return json_loadb((char *)evbuffer_pullup(input, -1), length, 0, NULL);
 }
 
-static void send_events(struct fake_kv *kv, struct fake_kv_watch *watch)
-{
-	json_t *events;
-
-	if (kv->fault.is_watch_stalled)
-		return;
-	events = fake_kv_store_events(kv->store, watch->range,
-				      watch->next_revision);
-	watch->next_revision = fake_kv_store_revision(kv->store) + 1;
-	if (events)
-		fake_kv_watch_send(watch, events);
-}
-
 static void send_all_events(struct fake_kv *kv)
 {
-	for (guint i = 0; i < kv->watches->len; i++)
-		send_events(kv, g_ptr_array_index(kv->watches, i));
-}
-
-static void on_watch_closed(struct evhttp_connection *connection, void *context)
-{
-	struct fake_kv *kv = context;
-
-	pthread_mutex_lock(&kv->lock);
-	for (guint i = kv->watches->len; i-- > 0;) {
-		struct fake_kv_watch *watch = g_ptr_array_index(kv->watches, i);
-
-		if (watch->connection != connection)
-			continue;
-		/* libevent leaves a request whose caller went to its user. */
-		if (!evhttp_request_get_connection(watch->request))
-			evhttp_send_reply_end(watch->request);
-		g_ptr_array_remove_index(kv->watches, i);
-		fake_kv_watch_free(watch);
-	}
-	pthread_mutex_unlock(&kv->lock);
+	if (!kv->fault.is_watch_stalled)
+		fake_kv_watches_send(kv->watches);
 }
 
 static void open_watch(struct fake_kv *kv, struct evhttp_request *request,
 		       const json_t *body)
 {
-	struct fake_kv_watch *watch = g_new0(struct fake_kv_watch, 1);
-	const char *start;
-
 	kv->watch_count++;
-	watch->request = request;
-	watch->connection = evhttp_request_get_connection(request);
-	watch->range = json_deep_copy(json_object_get(body, "create_request"));
-	start = json_string_value(
-		json_object_get(watch->range, "start_revision"));
-	watch->next_revision = start ? g_ascii_strtoll(start, NULL, 10)
-				     : fake_kv_store_revision(kv->store) + 1;
-	evhttp_connection_set_closecb(watch->connection, on_watch_closed, kv);
-	evhttp_send_reply_start(request, STATUS_OK, "OK");
-	fake_kv_watch_send(watch, json_pack("{s:o, s:b}", "header",
-					    fake_kv_store_header(kv->store),
-					    "created", true));
-	g_ptr_array_add(kv->watches, watch);
-	send_events(kv, watch);
+	fake_kv_watches_open(kv->watches, request, body,
+			     kv->fault.is_watch_stalled);
 }
 
 static bool is_answer_lost(struct fake_kv *kv)
@@ -301,25 +253,6 @@
 	pthread_mutex_unlock(&kv->lock);
 }
 
-/* The next event finds the connection closed and ends the watch. */
-static void shutdown_watch(const struct fake_kv_watch *watch)
-{
-	struct bufferevent *stream =
-		evhttp_connection_get_bufferevent(watch->connection);
-
-	shutdown(bufferevent_getfd(stream), SHUT_RDWR);
-}
-
-static void cut_watches(struct fake_kv *kv)
-{
-	for (guint i = 0; i < kv->watches->len; i++) {
-		const struct fake_kv_watch *watch =
-			g_ptr_array_index(kv->watches, i);
-
-		shutdown_watch(watch);
-	}
-}
-
 static void on_expire(void *context)
 {
 	struct fake_kv *kv = context;
@@ -328,7 +261,7 @@
 	fake_kv_store_expire(kv->store, task_now_ms());
 	send_all_events(kv);
 	if (kv->fault.is_down)
-		cut_watches(kv);
+		fake_kv_watches_cut(kv->watches);
 	pthread_mutex_unlock(&kv->lock);
 }
 
@@ -401,7 +334,7 @@
 
 	kv->options = *options;
 	kv->store = fake_kv_store_new();
-	kv->watches = g_ptr_array_new();
+	kv->watches = fake_kv_watches_new(&kv->lock, kv->store);
 	kv->late_answers = g_ptr_array_new_with_free_func(free_late);
 	pthread_mutex_init(&kv->lock, NULL);
 	kv->task = task_new(&task_options, error);
@@ -417,9 +350,7 @@
 	if (!kv)
 		return;
 	task_free(kv->task);
-	for (guint i = 0; i < kv->watches->len; i++)
-		fake_kv_watch_free(g_ptr_array_index(kv->watches, i));
-	g_ptr_array_free(kv->watches, TRUE);
+	fake_kv_watches_free(kv->watches);
 	g_ptr_array_free(kv->late_answers, TRUE);
 	fake_kv_store_free(kv->store);
 	pthread_mutex_destroy(&kv->lock);
