Read the store when nobody heard of has read it for a while

Cause: a node that heard its peers never read the store, so watchers which alone had lost it kept the whole zone from new rules.

Change: every message says how long ago the sender or anyone it heard of has read the store; a node to whom that is more than five seconds reads for itself, at intervals that grow to 30 s.

--- a/core/include/core/config_message.h
+++ b/core/include/core/config_message.h
@@ -18,15 +18,17 @@
 
 /*
  * A message between nodes about the configuration. Every kind says what the
- * sender holds. is_known is false while the sender itself has heard of no
- * configuration. Only a delta has lines and only CONFIG_ROSTER has a roster,
- * which the message owns.
+ * sender holds, and how long ago anyone it heard of has read the store.
+ * is_known is false while the sender itself has heard of no configuration.
+ * Only a delta has lines and only CONFIG_ROSTER has a roster, which the message
+ * owns.
  */
 struct config_message {
 	enum config_kind kind;
 	uint64_t revision;
 	uint64_t digest;
 	uint64_t roster_epoch;
+	uint32_t store_age_ms;
 	uint32_t held_count;
 	bool is_known;
 	bool wants_reply;
--- a/core/src/gossip_clock.c
+++ b/core/src/gossip_clock.c
@@ -9,6 +9,7 @@
 #define REPORT_INTERVAL_MS 5000
 #define WATCHER_READ_INTERVAL_MS 1000
 #define SILENCE_BOUND_MS 5000
+#define SILENT_READ_INTERVAL_MAX_MS 30000
 #define FIRST_READ_DELAY_MS 1000
 #define READ_JITTER_MS 1000
 #define REPAIR_INTERVAL_MS 2000
@@ -34,7 +35,7 @@
 		return false;
 	clock->has_started = true;
 	clock->start_ms = now_ms;
-	clock->heard_ms = now_ms;
+	clock->store_ms = now_ms;
 	clock->read_ms = now_ms;
 	clock->notice_ms = now_ms - NOTICE_INTERVAL_MS;
 	clock->digest_ms =
@@ -87,12 +88,14 @@
 
 /*
  * Watchers read regularly, as a watch can stall without a sign. Another node
- * reads once soon after its start, and then when all is silent.
+ * reads once soon after its start, and then when nobody it hears of has read
+ * the store for a while, less often as the silence lasts.
  */
 bool gossip_clock_is_read_due(const struct gossip_clock *clock, bool is_watcher,
 			      bool is_known, int64_t now_ms)
 {
 	int64_t jitter_ms = g_rand_int_range(clock->rand, 0, READ_JITTER_MS);
+	int64_t silence_ms = now_ms - clock->store_ms;
 	bool is_first = !is_known && clock->read_ms == clock->start_ms;
 
 	if (is_watcher)
@@ -100,6 +103,21 @@
 	if (is_first)
 		return now_ms - clock->start_ms >=
 		       FIRST_READ_DELAY_MS + jitter_ms;
-	return now_ms - clock->heard_ms >= SILENCE_BOUND_MS &&
-	       now_ms - clock->read_ms >= SILENCE_BOUND_MS + jitter_ms;
+	return silence_ms >= SILENCE_BOUND_MS &&
+	       now_ms - clock->read_ms >= CLAMP(silence_ms / 2,
+						SILENCE_BOUND_MS,
+						SILENT_READ_INTERVAL_MAX_MS) +
+						  jitter_ms;
+}
+
+/* Returns how long ago anyone heard of has read the store. */
+uint32_t gossip_clock_store_age_ms(const struct gossip_clock *clock)
+{
+	return (uint32_t)CLAMP(clock->now_ms - clock->store_ms, 0, UINT32_MAX);
+}
+
+/* Notes that a peer, or this node with age 0, knows of a read of the store. */
+void gossip_clock_hear_store(struct gossip_clock *clock, uint32_t age_ms)
+{
+	clock->store_ms = MAX(clock->store_ms, clock->now_ms - age_ms);
 }
--- a/core/src/gossip_clock.h
+++ b/core/src/gossip_clock.h
@@ -5,7 +5,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* What is due when: the moments of the last of each kind of event. */
+/*
+ * What is due when: the moments of the last of each kind of event. store_ms is
+ * when this node or one it heard of has last read the store.
+ */
 struct gossip_clock {
 	GRand *rand;
 	int64_t start_ms;
@@ -15,7 +18,8 @@
 	int64_t pull_ms;
 	int64_t report_ms;
 	int64_t read_ms;
-	int64_t heard_ms;
+	int64_t store_ms;
+	int64_t now_ms;
 	int64_t repair_ms;
 	bool has_started;
 };
@@ -24,6 +28,8 @@
 bool gossip_clock_begin(struct gossip_clock *clock, int64_t now_ms);
 bool gossip_clock_may_notify(const struct gossip_clock *clock, int64_t now_ms);
 bool gossip_clock_may_pull(const struct gossip_clock *clock, int64_t now_ms);
+uint32_t gossip_clock_store_age_ms(const struct gossip_clock *clock);
+void gossip_clock_hear_store(struct gossip_clock *clock, uint32_t age_ms);
 void gossip_clock_pull_done(struct gossip_clock *clock, int64_t now_ms);
 bool gossip_clock_may_repair(const struct gossip_clock *clock, int64_t now_ms);
 bool gossip_clock_is_report_due(const struct gossip_clock *clock,
--- a/core/src/gossip_exchange.c
+++ b/core/src/gossip_exchange.c
@@ -24,6 +24,7 @@
 	message->held_count = rules_replica_held_count(gossip->replica);
 	message->is_known = gossip->is_known;
 	message->roster_epoch = gossip->roster.epoch;
+	message->store_age_ms = gossip_clock_store_age_ms(&gossip->clock);
 	return message;
 }
 
@@ -108,6 +109,8 @@
 		struct config_message *delta = g_ptr_array_index(deltas, i);
 
 		delta->held_count = rules_replica_held_count(gossip->replica);
+		delta->roster_epoch = gossip->roster.epoch;
+		delta->store_age_ms = gossip_clock_store_age_ms(&gossip->clock);
 		send(gossip, node_id, delta);
 	}
 	g_ptr_array_free(deltas, TRUE);
@@ -138,8 +141,9 @@
 void rules_gossip_receive(struct rules_gossip *gossip, uint64_t node_id,
 			  const struct config_message *message, int64_t now_ms)
 {
+	gossip->clock.now_ms = now_ms;
 	if (message->is_known)
-		gossip->clock.heard_ms = now_ms;
+		gossip_clock_hear_store(&gossip->clock, message->store_age_ms);
 	switch (message->kind) {
 	case CONFIG_DIGEST:
 		take_digest(gossip, node_id, message, now_ms);
--- a/core/src/rules_gossip.c
+++ b/core/src/rules_gossip.c
@@ -136,7 +136,8 @@
 			     const struct rules_document *document,
 			     int64_t now_ms)
 {
-	gossip->clock.heard_ms = now_ms;
+	gossip->clock.now_ms = now_ms;
+	gossip_clock_hear_store(&gossip->clock, 0);
 	if (rules_replica_join(gossip->replica, document) > 0)
 		gossip_take_news(gossip, now_ms);
 	gossip_become_known(gossip);
@@ -205,6 +206,7 @@
 /* Does what is due; to be called about every 200 ms. */
 void rules_gossip_tick(struct rules_gossip *gossip, int64_t now_ms)
 {
+	gossip->clock.now_ms = now_ms;
 	if (gossip_clock_begin(&gossip->clock, now_ms) &&
 	    rules_gossip_is_watcher(gossip))
 		read_store(gossip, now_ms);
--- a/core/test/rules_gossip_test.c
+++ b/core/test/rules_gossip_test.c
@@ -4,7 +4,8 @@
 #include <string.h>
 
 #define NODE_COUNT 8
-#define ZONE_COUNT 4
+/* Few zones, so that some nodes are no watchers. */
+#define ZONE_COUNT 2
 #define SPREAD_MS 4000
 #define OUTAGE_MS 3600000
 #define LINE(service, host, comment)                                           \
@@ -24,6 +25,7 @@
 	ACTION_RESTORE,
 	ACTION_CUT_PEERS,
 	ACTION_CUT_STORE,
+	ACTION_CUT_WATCHERS,
 	ACTION_JOIN_PEERS,
 	ACTION_JOIN_STORE,
 	ACTION_PAUSE,
@@ -114,6 +116,13 @@
 	  {ACTION_SAVE, 0, LINE("desk", "1", "one")},
 	  {ACTION_RUN, SPREAD_MS, NULL},
 	  {ACTION_EXPECT_COMMENT, 0, "one"}}},
+	{"watchers-cut-off-from-the-store",
+	 0,
+	 {{ACTION_RUN, SPREAD_MS, NULL},
+	  {ACTION_CUT_WATCHERS, 0, NULL},
+	  {ACTION_SAVE, 0, LINE("desk", "1", "one")},
+	  {ACTION_RUN, 3 * SPREAD_MS, NULL},
+	  {ACTION_EXPECT_COMMENT, 0, "one"}}},
 	{"node-starts-with-the-store-down",
 	 0,
 	 {{ACTION_SAVE, 0, LINE("desk", "1", "one")},
@@ -180,6 +189,14 @@
 			      service_id_from_name("desk"));
 }
 
+static void cut_watchers(struct config_fleet *fleet)
+{
+	for (uint32_t i = 0; i < NODE_COUNT; i++) {
+		if (rules_gossip_is_watcher(config_fleet_node(fleet, i)))
+			config_fleet_cut_store(fleet, i, true);
+	}
+}
+
 static void act(struct config_fleet *fleet, const struct step *step)
 {
 	uint32_t node = (uint32_t)step->number;
@@ -216,6 +233,9 @@
 		config_fleet_cut_store(fleet, node,
 				       step->action == ACTION_CUT_STORE);
 		break;
+	case ACTION_CUT_WATCHERS:
+		cut_watchers(fleet);
+		break;
 	case ACTION_PAUSE:
 	case ACTION_WAKE:
 		config_fleet_pause(fleet, node, step->action == ACTION_PAUSE);
--- a/wire/gen/config.c
+++ b/wire/gen/config.c
@@ -49,6 +49,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->roster_epoch))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->store_age_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/wire/gen/config.h
+++ b/wire/gen/config.h
@@ -44,6 +44,7 @@
 	u_int held_count;
 	bool_t is_known;
 	u_quad_t roster_epoch;
+	u_int store_age_ms;
 };
 typedef struct xdr_config_state xdr_config_state;
 
--- a/wire/src/config_codec.c
+++ b/wire/src/config_codec.c
@@ -61,6 +61,7 @@
 	xdr->held_count = message->held_count;
 	xdr->is_known = message->is_known;
 	xdr->roster_epoch = message->roster_epoch;
+	xdr->store_age_ms = message->store_age_ms;
 }
 
 /* The generated structs, of which a message fills one. */
@@ -157,6 +158,7 @@
 	message->held_count = value->state.held_count;
 	message->is_known = value->state.is_known;
 	message->roster_epoch = value->state.roster_epoch;
+	message->store_age_ms = value->state.store_age_ms;
 	if (kind == CONFIG_DIGEST)
 		message->wants_reply = value->digest.wants_reply;
 	if (kind == CONFIG_PULL)
--- a/wire/x/config.x
+++ b/wire/x/config.x
@@ -30,6 +30,7 @@
 	unsigned int held_count;
 	bool is_known;
 	unsigned hyper roster_epoch;
+	unsigned int store_age_ms;
 };
 
 struct xdr_config_digest {
