Let others stand in for the nodes of a zone that is cut off

Cause: membership held the nodes of a cut zone as suspects for up to 15 minutes, and placement took a suspect for a home that answers. Packets for such a home went nowhere for as long as the zone was held: for 3 of 4 flows inside the zone and 1 of 4 outside. Each side had its own tests, and none saw both.

Weighed: (1) hold homes as they are, (2) let the next in rank stand in.

Change: a view has the state cut_off for a suspect of a cut zone, or of a node that is itself alone, from 4 s of silence of the whole zone until the suspect is heard of again. It is no home and shares no target, but stays in the roster and is not forgotten.

--- a/core/include/core/node.h
+++ b/core/include/core/node.h
@@ -5,13 +5,17 @@
 
 #define NODE_NONE 0
 
-/* What a node says of itself, or what its peers hold of it. */
+/*
+ * What a node says of itself, or what its peers hold of it. A node that is
+ * cut off lives on, as far as is known, but cannot be reached from here.
+ */
 enum node_state {
 	NODE_JOINING,
 	NODE_SERVING,
 	NODE_LEAVING,
 	NODE_SUSPECT,
 	NODE_DEAD,
+	NODE_CUT_OFF,
 	NODE_STATE_COUNT,
 };
 
@@ -21,13 +25,13 @@
  */
 struct node {
 	uint64_t node_id;
+	uint64_t feature_bits;
 	uint32_t incarnation;
 	uint32_t zone_id;
 	uint32_t region_id;
+	enum node_state state;
 	struct endpoint control;
 	struct endpoint packets;
-	uint64_t feature_bits;
-	enum node_state state;
 };
 
 const char *node_state_name(enum node_state state);
--- a/core/src/flow_homes.c
+++ b/core/src/flow_homes.c
@@ -19,7 +19,10 @@
 /* Tells whether a node still answers, whatever it is home of. */
 static bool is_reachable(const struct node_view *view, uint64_t node_id)
 {
-	return node_id != NODE_NONE && state_in(view, node_id) != NODE_DEAD;
+	enum node_state state = state_in(view, node_id);
+
+	return node_id != NODE_NONE && state != NODE_DEAD &&
+	       state != NODE_CUT_OFF;
 }
 
 static bool is_owner(const struct slot_homes *homes, uint64_t self_id,
@@ -162,7 +165,7 @@
 
 		if (node->node_id != director->self_id &&
 		    home_node_is_live(node) &&
-		    state_in(old_view, node->node_id) == NODE_DEAD)
+		    !is_reachable(old_view, node->node_id))
 			g_array_append_val(returned, node->node_id);
 	}
 	return returned;
--- a/core/src/member.c
+++ b/core/src/member.c
@@ -11,7 +11,7 @@
 	if (member->is_unsure)
 		return NODE_JOINING;
 	if (member->node.state == NODE_SERVING && member->is_suspect)
-		return NODE_SUSPECT;
+		return member->is_cut_off ? NODE_CUT_OFF : NODE_SUSPECT;
 	return member->node.state;
 }
 
--- a/core/src/member.h
+++ b/core/src/member.h
@@ -13,10 +13,13 @@
 struct member {
 	struct node node;
 	bool is_suspect;
+	/* Suspected for a while, and its zone or this node is cut off. */
+	bool is_cut_off;
 	bool is_unsure;
 	struct suspicion suspicion;
 	uint32_t check_count;
 	int64_t acked_ms;
+	int64_t heard_ms;
 	int64_t dead_ms;
 	uint64_t last_accuser_id;
 	uint32_t sends_left;
--- a/core/src/membership.c
+++ b/core/src/membership.c
@@ -157,6 +157,15 @@
 	}
 }
 
+static void note_heard(struct membership *membership, uint64_t node_id,
+		       int64_t now_ms)
+{
+	struct member *member = member_table_find(membership->table, node_id);
+
+	if (member)
+		member->heard_ms = now_ms;
+}
+
 /*
  * Takes in an authentic message. Messages of other regions, and those that
  * this node sent itself, are dropped.
@@ -172,6 +181,7 @@
 	    from_node_id == self->node_id)
 		return;
 	membership_notice_pause(membership, now_ms);
+	note_heard(membership, from_node_id, now_ms);
 	merge_all(membership, from_node_id, message, now_ms);
 	dispatch(membership, from_node_id, from, message, now_ms);
 	membership_on_digest(membership, from_node_id, from,
--- a/core/src/membership_suspect.c
+++ b/core/src/membership_suspect.c
@@ -7,6 +7,7 @@
 #define ZONE_CHECK 1
 #define ISOLATION_OTHER_COUNT_MIN 3
 #define ISOLATION_DIVISOR 2
+#define CUT_OFF_AFTER_MS 4000
 
 /* Failures below this share say nothing; above it they buy time. */
 #define FAILURE_SHARE_FREE 0.25
@@ -209,11 +210,50 @@
 					     membership->options.zone_hold_ms;
 }
 
+/* Tells whether nothing came from a whole zone for a while. */
+static bool is_zone_silent(const struct membership *membership,
+			   uint32_t zone_id, int64_t now_ms)
+{
+	for (uint32_t i = 0; i < member_table_count(membership->table); i++) {
+		const struct member *member =
+			member_table_at(membership->table, i);
+
+		if (member->node.zone_id == zone_id &&
+		    now_ms - member->heard_ms < CUT_OFF_AFTER_MS)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * A suspect of a zone that is cut off is not held for dead, but nothing can be
+ * sent to it either: others stand in for it until it is heard of again.
+ */
+static void note_cut_off(struct membership *membership, struct member *member,
+			 int64_t now_ms)
+{
+	bool is_held =
+		membership->is_isolated ||
+		zone_watch_is_cut(membership->zones, member->node.zone_id);
+	bool is_long = now_ms - member->suspicion.since_ms >= CUT_OFF_AFTER_MS;
+	bool is_cut_off =
+		member->is_suspect &&
+		(member->is_cut_off ||
+		 (is_held && is_long &&
+		  is_zone_silent(membership, member->node.zone_id, now_ms)));
+
+	if (is_cut_off == member->is_cut_off)
+		return;
+	member->is_cut_off = is_cut_off;
+	membership->is_dirty = true;
+}
+
 static void age_member(struct membership *membership, struct member *member,
 		       const struct fleet_tally *tally, int64_t now_ms)
 {
 	uint32_t zone_id = member->node.zone_id;
 
+	note_cut_off(membership, member, now_ms);
 	if (!member->is_suspect)
 		return;
 	if (zone_watch_is_cut(membership->zones, zone_id))
--- a/core/src/node.c
+++ b/core/src/node.c
@@ -5,7 +5,7 @@
 static const char *const state_names[NODE_STATE_COUNT] = {
 	[NODE_JOINING] = "joining", [NODE_SERVING] = "serving",
 	[NODE_LEAVING] = "leaving", [NODE_SUSPECT] = "suspect",
-	[NODE_DEAD] = "dead",
+	[NODE_DEAD] = "dead",	    [NODE_CUT_OFF] = "cut_off",
 };
 
 /* Names a state for logs and status. */
--- a/core/src/roster_choice.c
+++ b/core/src/roster_choice.c
@@ -43,14 +43,15 @@
 	return true;
 }
 
-/* A member stays while it is suspected; a new one must be serving. */
+/* A member stays while it is suspected or cut off; a new one must serve. */
 static bool may_hold(const struct node *node, const struct roster *held)
 {
 	bool is_held = held->epoch_count > 0 &&
 		       is_member(&held->epochs[0], node->node_id);
 
 	return node->state == NODE_SERVING ||
-	       (is_held && node->state == NODE_SUSPECT);
+	       (is_held &&
+		(node->state == NODE_SUSPECT || node->state == NODE_CUT_OFF));
 }
 
 static void add(struct roster_epoch *wanted, const struct node *node)
--- a/daemon/src/control_counters.c
+++ b/daemon/src/control_counters.c
@@ -55,6 +55,7 @@
 	NODES(NODE_LEAVING, "leaving"),
 	NODES(NODE_SUSPECT, "suspect"),
 	NODES(NODE_DEAD, "dead"),
+	NODES(NODE_CUT_OFF, "cut_off"),
 	EVENT(MEMBER_EVENT_JOINED, "joined"),
 	EVENT(MEMBER_EVENT_SERVING, "serving"),
 	EVENT(MEMBER_EVENT_LEAVING, "leaving"),
--- a/daemon/src/request_task.c
+++ b/daemon/src/request_task.c
@@ -49,14 +49,19 @@
 	request_front_set_rules(requests->front, rules_message_take(message));
 }
 
-/* Every node that is not dead shares the targets. */
+/* Every node that may be at work beside this one shares the targets. */
+static bool shares_targets(const struct node *node)
+{
+	return node->state != NODE_DEAD && node->state != NODE_CUT_OFF;
+}
+
 static void on_nodes(struct request_task *requests, struct message *message)
 {
 	struct node_view *view = nodes_message_take(message);
 	uint32_t node_count = 0;
 
 	for (uint32_t i = 0; i < node_view_count(view); i++) {
-		if (node_view_at(view, i)->state != NODE_DEAD)
+		if (shares_targets(node_view_at(view, i)))
 			node_count++;
 	}
 	node_view_free(view);
--- a/fakes/src/flow_fleet.c
+++ b/fakes/src/flow_fleet.c
@@ -146,7 +146,7 @@
 			continue;
 		if (!fleet_reaches(fleet, nodes[i].zone_id,
 				   fleet_zone(fleet, node)))
-			nodes[i].state = NODE_DEAD;
+			nodes[i].state = NODE_CUT_OFF;
 		nodes[count++] = nodes[i];
 	}
 	view = node_view_new(node + 1, fleet->view_version, nodes, count);
