Measure membership in virtual time and stop scanning at each message

Cause: the cost of a node against the number of nodes decides whether this membership carries the target.

Change: bench members. The digest, the list of news and the zones that are held are looked at only when something has changed or is due.

--- a/core/src/membership.c
+++ b/core/src/membership.c
@@ -100,8 +100,12 @@
 
 static void note_digest(struct membership *membership, int64_t now_ms)
 {
-	uint64_t digest = member_table_digest(membership->table);
+	uint64_t digest;
 
+	if (!membership->is_digest_stale)
+		return;
+	membership->is_digest_stale = false;
+	digest = member_table_digest(membership->table);
 	if (digest == membership->digest)
 		return;
 	membership->digest = digest;
@@ -202,7 +206,7 @@
 	self->is_unsure = false;
 	self->node.state = state;
 	self->last_accuser_id = self->node.node_id;
-	membership->is_dirty = true;
+	membership_mark_changed(membership);
 	membership_spread(membership, self);
 	note_digest(membership, now_ms);
 	membership->next_gossip_ms = now_ms;
--- a/core/src/membership_merge.c
+++ b/core/src/membership_merge.c
@@ -21,7 +21,7 @@
 
 static void note_change(struct membership *membership, struct member *member)
 {
-	membership->is_dirty = true;
+	membership_mark_changed(membership);
 	membership_spread(membership, member);
 }
 
@@ -174,7 +174,7 @@
 		return;
 	if (node->incarnation < member->node.incarnation) {
 		/* Whoever still says so missed the refutation. */
-		member->sends_left = MAX(member->sends_left, 1);
+		membership_correct(membership, member);
 		return;
 	}
 	if (node->state == NODE_DEAD)
--- a/core/src/membership_self.c
+++ b/core/src/membership_self.c
@@ -13,7 +13,7 @@
 	membership->phase_since_ms = now_ms;
 	membership->next_request_ms = now_ms;
 	membership->self->is_unsure = phase == SELF_VERIFYING;
-	membership->is_dirty = true;
+	membership_mark_changed(membership);
 }
 
 /* Hands out a new view when something in it has changed. */
@@ -34,7 +34,7 @@
 static void announce(struct membership *membership, enum node_state state)
 {
 	membership->self->node.state = state;
-	membership->is_dirty = true;
+	membership_mark_changed(membership);
 	membership_spread(membership, membership->self);
 }
 
@@ -50,7 +50,7 @@
 	membership_report(membership, MEMBER_EVENT_DECLARED_DEAD, &self->node);
 	self->is_unsure = false;
 	self->node.state = NODE_DEAD;
-	membership->is_dirty = true;
+	membership_mark_changed(membership);
 	membership_publish(membership);
 	self->node.incarnation = MAX(incarnation, self->node.incarnation) + 1;
 	announce(membership, NODE_JOINING);
--- a/core/src/membership_send.c
+++ b/core/src/membership_send.c
@@ -25,6 +25,14 @@
 
 	member->sends_left =
 		(uint32_t)(SENDS_PER_DECADE * ceil(log10(count + 1)));
+	membership->has_news = true;
+}
+
+/* Has what is known of a member sent once more. */
+void membership_correct(struct membership *membership, struct member *member)
+{
+	member->sends_left = MAX(member->sends_left, 1);
+	membership->has_news = true;
 }
 
 static int compare_news(const void *a, const void *b)
@@ -54,8 +62,12 @@
 static void add_news(struct membership *membership,
 		     struct member_message *message)
 {
-	GPtrArray *news = collect_news(membership);
+	GPtrArray *news;
 
+	if (!membership->has_news)
+		return;
+	news = collect_news(membership);
+	membership->has_news = news->len > 0;
 	for (guint i = 0; i < news->len; i++) {
 		struct member *member = g_ptr_array_index(news, i);
 
@@ -97,7 +109,7 @@
 	struct member *partners[GOSSIP_FANOUT];
 	uint32_t count;
 
-	if (now_ms < membership->next_gossip_ms)
+	if (now_ms < membership->next_gossip_ms || !membership->has_news)
 		return;
 	membership->next_gossip_ms =
 		now_ms +
--- a/core/src/membership_state.h
+++ b/core/src/membership_state.h
@@ -46,9 +46,18 @@
 	uint64_t digest;
 	double direct_failure_share;
 	bool is_dirty;
+	bool is_digest_stale;
+	bool has_news;
 	bool is_isolated;
 };
 
+/* Has the view published, and the digest computed, anew. */
+static inline void membership_mark_changed(struct membership *membership)
+{
+	membership->is_dirty = true;
+	membership->is_digest_stale = true;
+}
+
 /* membership_send.c: messages out. */
 void membership_send(struct membership *membership, uint64_t to_node_id,
 		     const struct endpoint *to, struct member_message *message);
@@ -56,6 +65,7 @@
 			  const struct member *to,
 			  struct member_message *message);
 void membership_spread(struct membership *membership, struct member *member);
+void membership_correct(struct membership *membership, struct member *member);
 void membership_gossip(struct membership *membership, int64_t now_ms);
 
 /* membership_merge.c: what others say. */
--- a/core/src/membership_suspect.c
+++ b/core/src/membership_suspect.c
@@ -216,9 +216,10 @@
 
 	if (!member->is_suspect)
 		return;
-	if (zone_watch_is_cut(membership->zones, zone_id))
+	if (zone_watch_is_due(membership->zones, zone_id, now_ms))
 		membership_judge_zone(membership, zone_id, now_ms);
-	else if (!is_held(membership, member, tally, now_ms))
+	else if (!zone_watch_is_cut(membership->zones, zone_id) &&
+		 !is_held(membership, member, tally, now_ms))
 		age_suspect(membership, member, tally->other_count + 1, now_ms);
 }
 
@@ -267,6 +268,6 @@
 		membership_report(membership, MEMBER_EVENT_FORGOTTEN,
 				  &member->node);
 		member_table_remove(table, member);
-		membership->is_dirty = true;
+		membership_mark_changed(membership);
 	}
 }
--- a/core/src/zone_watch.c
+++ b/core/src/zone_watch.c
@@ -53,6 +53,15 @@
 	return since_of(watch, zone_id) != NULL;
 }
 
+/* Tells whether a zone that is cut off has been held for long enough. */
+bool zone_watch_is_due(const struct zone_watch *watch, uint32_t zone_id,
+		       int64_t now_ms)
+{
+	const int64_t *since_ms = since_of(watch, zone_id);
+
+	return since_ms && now_ms - *since_ms >= watch->hold_ms;
+}
+
 static struct zone_tally tally(const struct member_table *table,
 			       uint32_t zone_id)
 {
@@ -83,7 +92,7 @@
 
 /*
  * Judges a zone anew; to be called when a suspicion of one of its members
- * begins or ends, and now and then to see whether its time is up.
+ * begins or ends, and when zone_watch_is_due.
  */
 enum zone_change zone_watch_update(struct zone_watch *watch,
 				   const struct member_table *table,
@@ -101,7 +110,7 @@
 	}
 	if (zone.suspect_count * HEAL_DIVISOR <= zone.member_count)
 		change = ZONE_HEALED;
-	else if (now_ms - *since_ms >= watch->hold_ms)
+	else if (zone_watch_is_due(watch, zone_id, now_ms))
 		change = ZONE_LOST;
 	else
 		return ZONE_UNCHANGED;
--- a/core/src/zone_watch.h
+++ b/core/src/zone_watch.h
@@ -19,6 +19,8 @@
 struct zone_watch *zone_watch_new(uint32_t hold_ms);
 void zone_watch_free(struct zone_watch *watch);
 bool zone_watch_is_cut(const struct zone_watch *watch, uint32_t zone_id);
+bool zone_watch_is_due(const struct zone_watch *watch, uint32_t zone_id,
+		       int64_t now_ms);
 enum zone_change zone_watch_update(struct zone_watch *watch,
 				   const struct member_table *table,
 				   uint32_t zone_id, int64_t now_ms);
--- a/ctl/include/ctl/bench.h
+++ b/ctl/include/ctl/bench.h
@@ -12,6 +12,7 @@
 
 extern const struct bench bench_config;
 extern const struct bench bench_decide;
+extern const struct bench bench_members;
 extern const struct bench bench_path;
 extern const struct bench bench_flood;
 
--- a/ctl/src/bench_command.c
+++ b/ctl/src/bench_command.c
@@ -5,10 +5,7 @@
 #include <string.h>
 
 static const struct bench *const benches[] = {
-	&bench_config,
-	&bench_decide,
-	&bench_path,
-	&bench_flood,
+	&bench_config, &bench_decide, &bench_members, &bench_path, &bench_flood,
 };
 
 #define BENCH_COUNT (sizeof(benches) / sizeof(benches[0]))
--- /dev/null
+++ b/ctl/src/bench_members.c
@@ -0,0 +1,286 @@
+#include <ctl/bench.h>
+
+#include <ctl/line_fit.h>
+#include <fakes/member_fleet.h>
+#include <glib.h>
+
+#define SEED 7
+#define ZONE_COUNT 5
+/* All nodes start at once; each tells of each other a few times. */
+#define SETTLE_MS 20000
+#define SETTLE_MS_PER_NODE 400
+#define MS_PER_S 1000
+
+#define CONTROL_BOUND_TODAY_BYTES_PER_S 4000
+#define CONTROL_BOUND_TARGET_BYTES_PER_S 14000
+#define NODE_COUNT_TODAY 8
+#define NODE_COUNT_TARGET 355
+
+static const uint32_t node_counts[] = {8, 16, 32, 64, 128, 256, 355};
+
+#define POINT_COUNT G_N_ELEMENTS(node_counts)
+
+/* What the nodes of one fleet reported while it was being measured. */
+struct watch {
+	bool is_measuring;
+	uint32_t died_count;
+	uint32_t false_death_count;
+	uint64_t dead_node_id;
+	int64_t first_ms;
+	int64_t last_ms;
+	uint64_t *home_digests;
+	uint32_t home_change_count;
+	struct member_fleet *fleet;
+};
+
+static void on_event(void *context, uint32_t instance,
+		     const struct member_event *event)
+{
+	struct watch *watch = context;
+	int64_t now_ms;
+
+	if (!watch->is_measuring || event->kind != MEMBER_EVENT_DIED)
+		return;
+	if (event->node_id != watch->dead_node_id) {
+		watch->false_death_count++;
+		return;
+	}
+	now_ms = driver_now_ms(member_fleet_driver(watch->fleet));
+	if (watch->died_count++ == 0)
+		watch->first_ms = now_ms;
+	watch->last_ms = now_ms;
+}
+
+/* Homes are kept on nodes that serve, whether suspect or not. */
+static uint64_t home_digest(const struct node_view *view)
+{
+	uint64_t digest = 0;
+
+	for (uint32_t i = 0; i < node_view_count(view); i++) {
+		const struct node *node = node_view_at(view, i);
+
+		if (node->state == NODE_SERVING || node->state == NODE_SUSPECT)
+			digest ^= node_rank_score(node->node_id, 0);
+	}
+	return digest;
+}
+
+static void on_view(void *context, uint32_t instance,
+		    const struct node_view *view)
+{
+	struct watch *watch = context;
+	uint64_t digest = home_digest(view);
+
+	if (watch->is_measuring && digest != watch->home_digests[instance])
+		watch->home_change_count++;
+	watch->home_digests[instance] = digest;
+}
+
+static struct watch *watch_new(uint32_t node_count, uint32_t loss_ppm)
+{
+	struct watch *watch = g_new0(struct watch, 1);
+	struct member_fleet_options options = {
+		.instance_count = node_count,
+		.node_count = node_count,
+		.zone_count = ZONE_COUNT,
+		.seed = SEED,
+		.link = {.delay_ms = 1, .jitter_ms = 1, .loss_ppm = loss_ppm},
+		.context = watch,
+		.event = on_event,
+		.view_changed = on_view,
+	};
+
+	watch->home_digests = g_new0(uint64_t, node_count);
+	watch->fleet = member_fleet_new(&options);
+	driver_run_until(member_fleet_driver(watch->fleet),
+			 SETTLE_MS + SETTLE_MS_PER_NODE * (int64_t)node_count);
+	watch->is_measuring = true;
+	return watch;
+}
+
+static void watch_free(struct watch *watch)
+{
+	member_fleet_free(watch->fleet);
+	g_free(watch->home_digests);
+	g_free(watch);
+}
+
+static void run_for(struct watch *watch, int64_t duration_ms)
+{
+	struct driver *driver = member_fleet_driver(watch->fleet);
+
+	driver_run_until(driver, driver_now_ms(driver) + duration_ms);
+}
+
+static uint64_t bytes_of(const struct watch *watch, uint32_t instance)
+{
+	return member_fleet_sent_bytes(watch->fleet, instance) +
+	       member_fleet_received_bytes(watch->fleet, instance);
+}
+
+static uint64_t bytes_of_all(const struct watch *watch, uint32_t node_count)
+{
+	uint64_t bytes = 0;
+
+	for (uint32_t i = 0; i < node_count; i++)
+		bytes += bytes_of(watch, i);
+	return bytes;
+}
+
+#define IDLE_MS 20000
+
+static double measure_idle(uint32_t node_count)
+{
+	struct watch *watch = watch_new(node_count, 0);
+	uint64_t before = bytes_of_all(watch, node_count);
+	uint64_t bytes;
+
+	run_for(watch, IDLE_MS);
+	bytes = bytes_of_all(watch, node_count) - before;
+	watch_free(watch);
+	return (double)bytes / node_count / ((double)IDLE_MS / MS_PER_S);
+}
+
+#define REPLACE_INTERVAL_MS 1000
+#define REPLACE_COUNT 20
+
+/*
+ * Replaces one node a second, as when all VMs of a fleet are renewed, and
+ * returns what a node that stays spends.
+ */
+static double measure_replacing(uint32_t node_count)
+{
+	struct watch *watch = watch_new(node_count, 0);
+	uint32_t stayer = node_count - 1;
+	uint64_t before = bytes_of(watch, stayer);
+	uint64_t bytes;
+
+	for (uint32_t i = 0; i < REPLACE_COUNT; i++) {
+		uint32_t place = i % (node_count - 1);
+
+		member_fleet_stop(watch->fleet, place);
+		member_fleet_start(watch->fleet, place);
+		run_for(watch, REPLACE_INTERVAL_MS);
+	}
+	bytes = bytes_of(watch, stayer) - before;
+	watch_free(watch);
+	return (double)bytes * MS_PER_S /
+	       ((double)REPLACE_COUNT * REPLACE_INTERVAL_MS);
+}
+
+static void report_fit(struct bench_report *report, const char *kind,
+		       const double *values)
+{
+	double x[POINT_COUNT];
+	struct line_fit fit;
+	char name[64];
+
+	for (uint32_t i = 0; i < POINT_COUNT; i++)
+		x[i] = node_counts[i];
+	fit = line_fit_of(x, values, POINT_COUNT);
+	g_snprintf(name, sizeof(name), "%s_bytes_base", kind);
+	bench_report_figure(report, name, fit.base, "bytes/s/node", BOUND_NONE,
+			    0);
+	g_snprintf(name, sizeof(name), "%s_bytes_slope", kind);
+	bench_report_figure(report, name, fit.slope, "bytes/s/node/node",
+			    BOUND_NONE, 0);
+	g_snprintf(name, sizeof(name), "%s_bytes_residual", kind);
+	bench_report_figure(report, name, fit.residual, "bytes/s/node",
+			    BOUND_NONE, 0);
+}
+
+static void report_bytes(struct bench_report *report, const char *kind,
+			 double (*measure)(uint32_t node_count))
+{
+	double values[POINT_COUNT];
+	char name[64];
+
+	for (uint32_t i = 0; i < POINT_COUNT; i++) {
+		bool is_today = node_counts[i] == NODE_COUNT_TODAY;
+
+		values[i] = measure(node_counts[i]);
+		g_snprintf(name, sizeof(name), "%s_bytes.%u", kind,
+			   node_counts[i]);
+		bench_report_figure(
+			report, name, values[i], "bytes/s/node", BOUND_AT_MOST,
+			is_today ? CONTROL_BOUND_TODAY_BYTES_PER_S
+				 : CONTROL_BOUND_TARGET_BYTES_PER_S);
+	}
+	report_fit(report, kind, values);
+}
+
+#define DETECT_MS 30000
+
+static void report_detection(struct bench_report *report, uint32_t node_count)
+{
+	struct watch *watch = watch_new(node_count, 0);
+	int64_t killed_ms = driver_now_ms(member_fleet_driver(watch->fleet));
+	double last_s;
+	char name[64];
+
+	watch->dead_node_id =
+		member_fleet_node_id(watch->fleet, node_count - 1);
+	member_fleet_kill(watch->fleet, node_count - 1);
+	run_for(watch, DETECT_MS);
+	last_s = (double)(watch->last_ms - killed_ms) / MS_PER_S;
+	g_snprintf(name, sizeof(name), "death_seen_by_all.%u", node_count);
+	bench_report_figure(report, name,
+			    watch->died_count == node_count - 1 ? last_s : -1,
+			    "s", BOUND_AT_LEAST, 0);
+	watch_free(watch);
+}
+
+#define LOSS_PPM 50000
+#define LOSS_MS 600000
+
+static void report_false_deaths(struct bench_report *report,
+				uint32_t node_count)
+{
+	struct watch *watch = watch_new(node_count, LOSS_PPM);
+	char name[64];
+
+	run_for(watch, LOSS_MS);
+	g_snprintf(name, sizeof(name), "false_deaths_at_5_percent_loss.%u",
+		   node_count);
+	bench_report_figure(report, name, watch->false_death_count,
+			    "deaths/600s", BOUND_AT_MOST, 0);
+	watch_free(watch);
+}
+
+#define CUT_MS 60000
+
+/* The views of all nodes, in the zone and out of it, while it is cut. */
+static void report_zone_cut(struct bench_report *report, uint32_t node_count)
+{
+	struct watch *watch = watch_new(node_count, 0);
+	char name[64];
+
+	member_fleet_cut_zone(watch->fleet, 1, true);
+	run_for(watch, CUT_MS);
+	member_fleet_cut_zone(watch->fleet, 1, false);
+	run_for(watch, CUT_MS);
+	g_snprintf(name, sizeof(name), "home_changes_by_zone_cut.%u",
+		   node_count);
+	bench_report_figure(report, name, watch->home_change_count, "changes",
+			    BOUND_AT_MOST, 0);
+	g_snprintf(name, sizeof(name), "agreed_after_zone_cut.%u", node_count);
+	bench_report_figure(report, name,
+			    member_fleet_is_converged(watch->fleet), "",
+			    BOUND_AT_LEAST, 1);
+	watch_free(watch);
+}
+
+static void run(struct bench_report *report)
+{
+	report_bytes(report, "idle", measure_idle);
+	report_bytes(report, "replacing", measure_replacing);
+	report_detection(report, NODE_COUNT_TODAY);
+	report_detection(report, NODE_COUNT_TARGET);
+	report_false_deaths(report, NODE_COUNT_TODAY);
+	report_false_deaths(report, 71);
+	report_zone_cut(report, NODE_COUNT_TODAY);
+	report_zone_cut(report, NODE_COUNT_TARGET);
+}
+
+const struct bench bench_members = {
+	"members", "membership: bytes against nodes, deaths, zone cuts", run};
