Test control messages against loss, strangers and key rotation

Cause: what a stranger sends, a replay, another version, a call for a task that is not there and a key file that changes under a running node had no rows.

Change: daemon/control_task_test runs control tasks on loopback; key files are looked at every two seconds and counted when taken over.

--- a/daemon/src/control_counters.c
+++ b/daemon/src/control_counters.c
@@ -50,6 +50,12 @@
 	[CONTROL_REFUSED_BY_PEER] =
 		{"shallot_control_refused_by_peer_total",
 		 "Control messages a peer did not understand.", COUNTER_TOTAL},
+	[CONTROL_KEY_READS] = {"shallot_control_key_reads_total",
+			       "Key files taken over after a change.",
+			       COUNTER_TOTAL},
+	[CONTROL_KEYS_NOT_READ] = {"shallot_control_keys_not_read_total",
+				   "Changed key files that could not be read.",
+				   COUNTER_TOTAL},
 	NODES(NODE_JOINING, "joining"),
 	NODES(NODE_SERVING, "serving"),
 	NODES(NODE_LEAVING, "leaving"),
--- a/daemon/src/control_keys.c
+++ b/daemon/src/control_keys.c
@@ -1,15 +1,16 @@
 #include "control_keys.h"
 
+#include "control_counters.h"
+
 #include <daemon/daemon_error.h>
 #include <inttypes.h>
 #include <sys/stat.h>
 #include <task/timer.h>
 
-#define CHECK_INTERVAL_MS 10000
+#define CHECK_INTERVAL_MS 2000
 
 struct control_keys {
-	const char *path;
-	struct log *log;
+	struct control_keys_options options;
 	struct timer *timer;
 	struct key_ring *ring;
 	struct timespec changed;
@@ -20,7 +21,7 @@
 	struct stat status;
 	struct timespec changed = keys->changed;
 
-	if (stat(keys->path, &status) < 0)
+	if (stat(keys->options.path, &status) < 0)
 		return true;
 	keys->changed = status.st_mtim;
 	return changed.tv_sec != status.st_mtim.tv_sec ||
@@ -29,13 +30,13 @@
 
 static bool read_ring(struct control_keys *keys, GError **error)
 {
-	struct key_ring *ring = key_ring_read(keys->path, error);
+	struct key_ring *ring = key_ring_read(keys->options.path, error);
 
 	if (!ring)
 		return false;
 	key_ring_free(keys->ring);
 	keys->ring = ring;
-	log_write(keys->log, LOG_LEVEL_NOTICE, "keys_read",
+	log_write(keys->options.log, LOG_LEVEL_NOTICE, "keys_read",
 		  "signing_key=%" PRIu32, key_ring_signing_key_id(ring));
 	return true;
 }
@@ -46,26 +47,31 @@
 	struct control_keys *keys = context;
 	GError *error = NULL;
 
-	if (!has_changed(keys) || read_ring(keys, &error))
+	if (!has_changed(keys))
+		return;
+	if (read_ring(keys, &error)) {
+		counter_set_add(keys->options.counters, CONTROL_KEY_READS, 1);
 		return;
-	log_write(keys->log, LOG_LEVEL_WARNING, "keys_not_read", "error=\"%s\"",
-		  error->message);
+	}
+	counter_set_add(keys->options.counters, CONTROL_KEYS_NOT_READ, 1);
+	log_write(keys->options.log, LOG_LEVEL_WARNING, "keys_not_read",
+		  "error=\"%s\"", error->message);
 	g_error_free(error);
 }
 
 /*
- * Reads the file and watches it in the task's own thread; path and log must
- * outlive the keys. The caller frees them there with control_keys_free. Fails
- * with DAEMON_ERROR_SETTINGS.
+ * Reads the file and watches it in the task's own thread; what the
+ * options point to must outlive the keys. The caller frees them there with
+ * control_keys_free. Fails with DAEMON_ERROR_SETTINGS.
  */
-struct control_keys *control_keys_new(struct task *task, const char *path,
-				      struct log *log, GError **error)
+struct control_keys *
+control_keys_new(struct task *task, const struct control_keys_options *options,
+		 GError **error)
 {
 	struct control_keys *keys = g_new0(struct control_keys, 1);
 	GError *cause = NULL;
 
-	keys->path = path;
-	keys->log = log;
+	keys->options = *options;
 	has_changed(keys);
 	if (!read_ring(keys, &cause)) {
 		g_set_error(error, DAEMON_ERROR, DAEMON_ERROR_SETTINGS,
--- a/daemon/src/control_transport.c
+++ b/daemon/src/control_transport.c
@@ -260,12 +260,15 @@
 static bool open_keys(struct control_transport *transport, struct task *task,
 		      GError **error)
 {
-	const struct control_transport_options *options = &transport->options;
+	struct control_keys_options options = {
+		.path = transport->options.key_file,
+		.counters = transport->options.counters,
+		.log = transport->options.log,
+	};
 
-	if (!options->key_file)
+	if (!options.path)
 		return true;
-	transport->keys =
-		control_keys_new(task, options->key_file, options->log, error);
+	transport->keys = control_keys_new(task, &options, error);
 	return transport->keys != NULL;
 }
 
--- /dev/null
+++ b/daemon/test/control_task_test.c
@@ -0,0 +1,427 @@
+/* Control tasks on loopback: what gets from one node to another, and what of
+ * a stranger's datagrams gets in. */
+#include <daemon/control_message.h>
+#include <daemon/control_task.h>
+#include <daemon/metrics_message.h>
+#include <daemon/nodes_message.h>
+#include <fakes/test_main.h>
+#include <glib/gstdio.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <task/log.h>
+#include <unistd.h>
+#include <wire/replay_guard.h>
+#include <wire/rpc_codec.h>
+#include <wire/sock_addr.h>
+
+#define WAIT_STEP_US 1000
+#define WAIT_STEP_COUNT 30000
+#define PROBE_INTERVAL_MS 100
+#define KEYS                                                                   \
+	"1 0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef\n"
+#define OTHER_KEYS                                                             \
+	"1 fedcba9876543210fedcba9876543210fedcba9876543210fedcba9876543210\n"
+#define NEW_KEYS                                                               \
+	"2 fedcba9876543210fedcba9876543210fedcba9876543210fedcba9876543210\n"
+
+/* A task that keeps what the control task posts to it. */
+struct receiver {
+	struct task *task;
+	pthread_mutex_t lock;
+	uint32_t call_count;
+	uint32_t last_length_bytes;
+	uint8_t last_byte;
+	uint32_t serving_count;
+	uint64_t request_id;
+	char *metrics;
+};
+
+struct member_node {
+	char *key_path;
+	struct settings settings;
+	struct control_task *control;
+	struct receiver receiver;
+};
+
+static void note_call(struct receiver *receiver, struct message *message)
+{
+	const struct control_message *call = (struct control_message *)message;
+
+	receiver->call_count++;
+	receiver->last_length_bytes = call->length_bytes;
+	receiver->last_byte = call->bytes[call->length_bytes - 1];
+}
+
+static void note_view(struct receiver *receiver, struct message *message)
+{
+	struct node_view *view = nodes_message_take(message);
+
+	receiver->serving_count = 0;
+	for (uint32_t i = 0; i < node_view_count(view); i++)
+		receiver->serving_count +=
+			node_view_at(view, i)->state == NODE_SERVING;
+	node_view_free(view);
+}
+
+static void note_metrics(struct receiver *receiver, struct message *message)
+{
+	const struct metrics_reply *reply = (struct metrics_reply *)message;
+
+	g_free(receiver->metrics);
+	receiver->metrics = g_strdup(reply->text->str);
+	receiver->request_id = reply->request_id;
+}
+
+static void handle(void *context, struct message *message)
+{
+	struct receiver *receiver = context;
+
+	pthread_mutex_lock(&receiver->lock);
+	if (message->type == &control_in_type)
+		note_call(receiver, message);
+	else if (message->type == &nodes_message_type)
+		note_view(receiver, message);
+	else if (message->type == &metrics_reply_type)
+		note_metrics(receiver, message);
+	pthread_mutex_unlock(&receiver->lock);
+	message_free(message);
+}
+
+static struct endpoint free_endpoint(void)
+{
+	struct endpoint endpoint = {.addr = ip_addr_from_v4(0x7f000001)};
+	struct sockaddr_storage storage;
+	socklen_t length = sock_addr_from_endpoint(&storage, &endpoint);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&storage, length), 0);
+	ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&storage, &length),
+			 0);
+	sock_addr_to_endpoint(&endpoint, &storage);
+	close(fd);
+	return endpoint;
+}
+
+static void write_keys(const char *path, const char *text)
+{
+	ck_assert(g_file_set_contents_full(
+		path, text, -1, G_FILE_SET_CONTENTS_CONSISTENT, 0600, NULL));
+}
+
+static void node_start(struct member_node *node, const char *keys,
+		       const struct member_node *seed)
+{
+	struct task_options options = {.name = "receiver",
+				       .mailbox_capacity = 1024,
+				       .context = &node->receiver,
+				       .handle = handle};
+	char text[ENDPOINT_TEXT_BYTES];
+	GError *error = NULL;
+
+	memset(node, 0, sizeof(*node));
+	pthread_mutex_init(&node->receiver.lock, NULL);
+	node->key_path =
+		g_strdup_printf("%s/control_test_%d_%p", g_get_tmp_dir(),
+				getpid(), (void *)node);
+	write_keys(node->key_path, keys);
+	node->settings = (struct settings){
+		.zone = "zone-a",
+		.region = "region",
+		.listen_control = free_endpoint(),
+		.members_key_file = node->key_path,
+		.members_interval_ms = PROBE_INTERVAL_MS,
+		.members_bytes_per_s = 1000000,
+		.log_level = LOG_LEVEL_ERROR,
+		.log_rate_per_s = 10,
+	};
+	if (seed)
+		node->settings.members_seeds = g_strdup(
+			endpoint_format(&seed->settings.listen_control, text));
+	node->receiver.task = task_new(&options, &error);
+	ck_assert(task_start(node->receiver.task, &error));
+	node->control = control_task_new(&node->settings, &error);
+	control_task_route(node->control, PROCEDURE_FLOWS_FIRST,
+			   node->receiver.task);
+	control_task_watch(node->control, node->receiver.task);
+	ck_assert_msg(task_start(control_task_task(node->control), &error),
+		      "%s", error ? error->message : "");
+}
+
+static void node_free(struct member_node *node)
+{
+	task_stop(node->receiver.task);
+	control_task_free(node->control);
+	task_free(node->receiver.task);
+	g_unlink(node->key_path);
+	g_free(node->key_path);
+	g_free(node->settings.members_seeds);
+	g_free(node->receiver.metrics);
+	pthread_mutex_destroy(&node->receiver.lock);
+}
+
+/* Waits until a number that the receiver keeps has been reached. */
+static bool await_number(struct receiver *receiver, const uint32_t *number,
+			 uint32_t wanted)
+{
+	bool is_reached = false;
+
+	for (int i = 0; i < WAIT_STEP_COUNT && !is_reached; i++) {
+		pthread_mutex_lock(&receiver->lock);
+		is_reached = *number == wanted;
+		pthread_mutex_unlock(&receiver->lock);
+		if (!is_reached)
+			g_usleep(WAIT_STEP_US);
+	}
+	return is_reached;
+}
+
+static uint64_t read_counter(struct member_node *node, const char *name)
+{
+	static uint64_t request_id;
+	struct receiver *receiver = &node->receiver;
+	uint64_t value = 0;
+	const char *line;
+	bool is_read = false;
+
+	request_id++;
+	task_post(control_task_task(node->control),
+		  metrics_request_new(receiver->task, request_id));
+	while (!is_read) {
+		g_usleep(WAIT_STEP_US);
+		pthread_mutex_lock(&receiver->lock);
+		is_read = receiver->request_id == request_id;
+		if (is_read) {
+			line = strstr(receiver->metrics, name);
+			ck_assert_msg(line != NULL, "no counter %s", name);
+			value = g_ascii_strtoull(line + strlen(name), NULL, 10);
+		}
+		pthread_mutex_unlock(&receiver->lock);
+	}
+	return value;
+}
+
+static bool await_counter(struct member_node *node, const char *name)
+{
+	for (int i = 0; i < WAIT_STEP_COUNT / 10; i++) {
+		if (read_counter(node, name) > 0)
+			return true;
+		g_usleep(10 * WAIT_STEP_US);
+	}
+	return false;
+}
+
+/* Bodies of a call from the second node to the first. */
+static const struct {
+	const char *name;
+	uint32_t length_bytes;
+} call_rows[] = {
+	{"datagram", 100},
+	{"largest-datagram", RPC_DATAGRAM_BYTES_MAX - RPC_HEADER_BYTES},
+	{"smallest-record", RPC_DATAGRAM_BYTES_MAX - RPC_HEADER_BYTES + 1},
+	{"record-of-a-megabyte", 1024 * 1024},
+};
+
+static void post_call(struct member_node *from, uint64_t to_node_id,
+		      uint32_t procedure, uint32_t length_bytes)
+{
+	uint8_t *body = g_malloc(length_bytes);
+
+	memset(body, 7, length_bytes);
+	task_post(control_task_task(from->control),
+		  control_message_new(&control_out_type, to_node_id, procedure,
+				      body, length_bytes));
+	g_free(body);
+}
+
+START_TEST(test_call)
+{
+	struct member_node nodes[2];
+	struct receiver *receiver = &nodes[0].receiver;
+
+	test_row("control", call_rows[_i].name);
+	node_start(&nodes[0], KEYS, NULL);
+	node_start(&nodes[1], KEYS, &nodes[0]);
+	ck_assert(await_number(&nodes[1].receiver,
+			       &nodes[1].receiver.serving_count, 2));
+	post_call(&nodes[1], control_task_node_id(nodes[0].control),
+		  PROCEDURE_FLOWS_FIRST, call_rows[_i].length_bytes);
+	ck_assert(await_number(receiver, &receiver->call_count, 1));
+	ck_assert_uint_eq(receiver->last_length_bytes,
+			  call_rows[_i].length_bytes);
+	ck_assert_uint_eq(receiver->last_byte, 7);
+	node_free(&nodes[0]);
+	node_free(&nodes[1]);
+}
+END_TEST
+
+/* Calls that get nowhere, and where that is counted. */
+static const struct {
+	const char *name;
+	uint64_t to_node_id;
+	uint32_t procedure;
+	uint32_t counting_node;
+	const char *counter;
+} lost_rows[] = {
+	{"unknown-node", 12345, PROCEDURE_FLOWS_FIRST, 1,
+	 "shallot_control_dropped_total{reason=\"no_node\"} "},
+	{"procedure-without-task", 0, PROCEDURE_CLAIMS_FIRST, 0,
+	 "shallot_control_dropped_total{reason=\"no_route\"} "},
+	{"caller-is-told", 0, PROCEDURE_CLAIMS_FIRST, 1,
+	 "\nshallot_control_refused_by_peer_total "},
+	{"unknown-member-procedure", 0, PROCEDURE_FLOWS_FIRST - 1, 0,
+	 "shallot_control_dropped_total{reason=\"malformed\"} "},
+};
+
+START_TEST(test_lost)
+{
+	struct member_node nodes[2];
+	uint64_t to_node_id = lost_rows[_i].to_node_id;
+
+	test_row("control", lost_rows[_i].name);
+	node_start(&nodes[0], KEYS, NULL);
+	node_start(&nodes[1], KEYS, &nodes[0]);
+	ck_assert(await_number(&nodes[1].receiver,
+			       &nodes[1].receiver.serving_count, 2));
+	if (to_node_id == 0)
+		to_node_id = control_task_node_id(nodes[0].control);
+	post_call(&nodes[1], to_node_id, lost_rows[_i].procedure, 8);
+	ck_assert(await_counter(&nodes[lost_rows[_i].counting_node],
+				lost_rows[_i].counter));
+	ck_assert_uint_eq(nodes[0].receiver.call_count, 0);
+	node_free(&nodes[0]);
+	node_free(&nodes[1]);
+}
+END_TEST
+
+enum stranger {
+	STRANGER_GARBAGE,
+	STRANGER_WRONG_KEY,
+	STRANGER_REPLAY,
+	STRANGER_OLD_CLOCK,
+	STRANGER_OTHER_VERSION,
+};
+
+/* What a stranger sends, how often, and where it is counted. */
+static const struct {
+	const char *name;
+	enum stranger stranger;
+	uint32_t taken_count;
+	const char *counter;
+} stranger_rows[] = {
+	{"stranger-garbage", STRANGER_GARBAGE, 0,
+	 "shallot_control_dropped_total{reason=\"malformed\"} "},
+	{"stranger-wrong-key", STRANGER_WRONG_KEY, 0,
+	 "shallot_control_dropped_total{reason=\"not_authentic\"} "},
+	{"stranger-replays", STRANGER_REPLAY, 1,
+	 "shallot_control_dropped_total{reason=\"replayed\"} "},
+	{"stranger-replays-old", STRANGER_OLD_CLOCK, 0,
+	 "shallot_control_dropped_total{reason=\"clock_skew\"} "},
+	{"peer-of-another-version", STRANGER_OTHER_VERSION, 0,
+	 "shallot_control_dropped_total{reason=\"other_version\"} "},
+};
+
+static GByteArray *write_call(enum stranger stranger, const char *key_path)
+{
+	struct rpc_message call = {
+		.kind = RPC_KIND_CALL,
+		.version = stranger == STRANGER_OTHER_VERSION ? 9 : 1,
+		.procedure = PROCEDURE_FLOWS_FIRST,
+		.sender_id = 99,
+		.sequence = 1,
+		.sent_s = (uint32_t)(g_get_real_time() / G_USEC_PER_SEC),
+		.body = (const uint8_t *)"body",
+		.length_bytes = 4,
+	};
+	struct key_ring *ring = key_ring_read(key_path, NULL);
+	GByteArray *bytes;
+
+	if (stranger == STRANGER_OLD_CLOCK)
+		call.sent_s -= 2 * REPLAY_CLOCK_SKEW_S_MAX;
+	bytes = rpc_encode(&call, ring, NULL);
+	key_ring_free(ring);
+	if (stranger == STRANGER_GARBAGE)
+		memset(bytes->data, 0xa5, bytes->len);
+	return bytes;
+}
+
+static void send_twice(const struct endpoint *to, const GByteArray *bytes)
+{
+	struct sockaddr_storage storage;
+	socklen_t length = sock_addr_from_endpoint(&storage, to);
+	int fd = socket(AF_INET, SOCK_DGRAM, 0);
+
+	for (int i = 0; i < 2; i++)
+		ck_assert_int_eq(sendto(fd, bytes->data, bytes->len, 0,
+					(struct sockaddr *)&storage, length),
+				 bytes->len);
+	close(fd);
+}
+
+START_TEST(test_stranger)
+{
+	enum stranger stranger = stranger_rows[_i].stranger;
+	struct member_node node;
+	GByteArray *bytes;
+	char *other_path;
+
+	test_row("control", stranger_rows[_i].name);
+	node_start(&node, KEYS, NULL);
+	other_path = g_strconcat(node.key_path, ".other", NULL);
+	write_keys(other_path,
+		   stranger == STRANGER_WRONG_KEY ? OTHER_KEYS : KEYS);
+	bytes = write_call(stranger, other_path);
+	send_twice(&node.settings.listen_control, bytes);
+	ck_assert(await_counter(&node, stranger_rows[_i].counter));
+	ck_assert(await_number(&node.receiver, &node.receiver.call_count,
+			       stranger_rows[_i].taken_count));
+	g_byte_array_unref(bytes);
+	g_unlink(other_path);
+	g_free(other_path);
+	node_free(&node);
+}
+END_TEST
+
+/* Keys are exchanged on running nodes, one after the other. */
+START_TEST(test_rotation)
+{
+	struct member_node nodes[2];
+	struct receiver *receiver = &nodes[0].receiver;
+
+	test_row("control", "keys-rotate-in-service");
+	node_start(&nodes[0], KEYS, NULL);
+	node_start(&nodes[1], KEYS, &nodes[0]);
+	ck_assert(await_number(&nodes[1].receiver,
+			       &nodes[1].receiver.serving_count, 2));
+	write_keys(nodes[0].key_path, KEYS NEW_KEYS);
+	ck_assert(
+		await_counter(&nodes[0], "\nshallot_control_key_reads_total "));
+	write_keys(nodes[1].key_path, NEW_KEYS KEYS);
+	ck_assert(
+		await_counter(&nodes[1], "\nshallot_control_key_reads_total "));
+	post_call(&nodes[1], control_task_node_id(nodes[0].control),
+		  PROCEDURE_FLOWS_FIRST, 8);
+	ck_assert(await_number(receiver, &receiver->call_count, 1));
+	ck_assert_uint_eq(read_counter(&nodes[0],
+				       "shallot_control_dropped_total{reason="
+				       "\"not_authentic\"} "),
+			  0);
+	node_free(&nodes[0]);
+	node_free(&nodes[1]);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("control_task");
+	TCase *tcase = tcase_create("control_task");
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_loop_test(tcase, test_call, 0, G_N_ELEMENTS(call_rows));
+	tcase_add_loop_test(tcase, test_lost, 0, G_N_ELEMENTS(lost_rows));
+	tcase_add_loop_test(tcase, test_stranger, 0,
+			    G_N_ELEMENTS(stranger_rows));
+	tcase_add_test(tcase, test_rotation);
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
