--- a/core/include/core/member_message.h
+++ b/core/include/core/member_message.h
@@ -4,7 +4,7 @@
 #include <core/member_update.h>
 
 #define MEMBER_GOSSIP_UPDATES_MAX 8
-#define MEMBER_PAGE_UPDATES_MAX 20
+#define MEMBER_PAGE_UPDATES_MAX 17
 
 enum member_message_kind {
 	MEMBER_PROBE,
--- a/core/test/membership_test.c
+++ b/core/test/membership_test.c
@@ -74,6 +74,12 @@
 	{"node-dies-while-zone-is-cut", 16, 4, 100000, 0, 12, 12, 0, 1},
 	{"node-leaves-while-zone-is-cut", 16, 4, 100000, 0, 0, 12, 0, 1},
 	{"zone-cut-at-5-percent-loss", 16, 4, 200000, 0, 0, 12, 0, 0},
+	{"zone-dies", 16, 4, 700000, 0, 48, 12, 0, 1},
+	{"rolling-replacement", 4, 4, 80000, 0, 0, 0, 0, ANY},
+	{"node-joins-while-zone-is-cut", 15, 4, 100000, 0, 0, 12, 0, 1},
+	{"pause-while-zone-is-cut", 16, 4, 120000, 0, 0, 12, 0, ANY},
+	{"two-fleets-meet", 8, 4, 760000, ANY, 0, 0, 0, ANY},
+	{"first-node-alone", 1, 4, 20000, 0, 0, 0, 0, 0},
 };
 
 /* What is done in a row, in order of time. */
@@ -129,6 +135,30 @@
 	{"zone-cut-at-5-percent-loss", 15000, ACT_SET_LOSS, 50000, 0},
 	{"zone-cut-at-5-percent-loss", 20000, ACT_CUT_ZONE, 1, 0},
 	{"zone-cut-at-5-percent-loss", 140000, ACT_JOIN_ZONE, 1, 0},
+	{"zone-dies", 20000, ACT_KILL, 1, 0},
+	{"zone-dies", 20000, ACT_KILL, 5, 0},
+	{"zone-dies", 20000, ACT_KILL, 9, 0},
+	{"zone-dies", 20000, ACT_KILL, 13, 0},
+	{"rolling-replacement", 20000, ACT_START, 4, 0},
+	{"rolling-replacement", 25000, ACT_LEAVE, 0, 0},
+	{"rolling-replacement", 28000, ACT_STOP, 0, 0},
+	{"rolling-replacement", 30000, ACT_START, 0, 0},
+	{"rolling-replacement", 35000, ACT_STOP, 1, 0},
+	{"rolling-replacement", 35000, ACT_START, 1, 0},
+	{"rolling-replacement", 40000, ACT_STOP, 2, 0},
+	{"rolling-replacement", 40000, ACT_START, 2, 0},
+	{"rolling-replacement", 45000, ACT_STOP, 3, 0},
+	{"rolling-replacement", 45000, ACT_START, 3, 0},
+	{"rolling-replacement", 50000, ACT_STOP, 4, 0},
+	{"node-joins-while-zone-is-cut", 20000, ACT_CUT_ZONE, 1, 0},
+	{"node-joins-while-zone-is-cut", 35000, ACT_START, 15, 0},
+	{"node-joins-while-zone-is-cut", 70000, ACT_JOIN_ZONE, 1, 0},
+	{"pause-while-zone-is-cut", 20000, ACT_CUT_ZONE, 1, 0},
+	{"pause-while-zone-is-cut", 30000, ACT_PAUSE, 2, 0},
+	{"pause-while-zone-is-cut", 60000, ACT_WAKE, 2, 0},
+	{"pause-while-zone-is-cut", 80000, ACT_JOIN_ZONE, 1, 0},
+	{"two-fleets-meet", 20000, ACT_SET_LOSS, 1000000, 0},
+	{"two-fleets-meet", 700000, ACT_SET_LOSS, 0, 0},
 };
 
 /* What the nodes of a run reported. */
