--- a/daemon/src/control_task.c
+++ b/daemon/src/control_task.c
@@ -6,6 +6,7 @@
 
 #include <core/endpoint_list.h>
 #include <core/membership.h>
+#include <core/node_feature.h>
 #include <core/zone.h>
 #include <daemon/control_message.h>
 #include <daemon/daemon_error.h>
@@ -188,7 +189,8 @@
 			 .zone_id = zone_id_from_name(settings->zone),
 			 .region_id = zone_id_from_name(settings->region),
 			 .control = settings->listen_control,
-			 .packets = settings->listen_packets},
+			 .packets = settings->listen_packets,
+			 .feature_bits = NODE_FEATURES},
 		.seed = control->node_id,
 		.probe_interval_ms = settings->members_interval_ms,
 		.is_alone = !has_peers(settings),
