--- a/daemon/src/control_task.c
+++ b/daemon/src/control_task.c
@@ -186,6 +186,7 @@
 	const struct settings *settings = control->settings;
 	struct membership_options options = {
 		.self = {.node_id = control->node_id,
+			 .feature_bits = NODE_FEATURES,
 			 .zone_id = zone_id_from_name(settings->zone),
 			 .region_id = zone_id_from_name(settings->region),
 			 .control = settings->listen_control,
--- a/daemon/src/shallotd.c
+++ b/daemon/src/shallotd.c
@@ -12,11 +12,11 @@
 #include <daemon/rules_message.h>
 
 /*
- * The places of the tasks. Those before TASK_CONTROL get rules and target
- * states; those up to it are drained; the configuration task is there only
- * where there is a store.
+ * The places of the tasks. Work tasks get rules and target states; the
+ * configuration task is there only where there is a store.
  */
 enum task_place {
+	TASK_ADMIN,
 	TASK_PACKETS,
 	TASK_REQUESTS,
 	TASK_CONTROL,
@@ -24,7 +24,10 @@
 	TASK_COUNT_MAX,
 };
 
-#define WORK_TASK_COUNT TASK_CONTROL
+#define WORK_TASK_FIRST TASK_PACKETS
+#define WORK_TASK_COUNT (TASK_CONTROL - WORK_TASK_FIRST)
+
+/* All tasks but the configuration task are drained. */
 #define DRAIN_TASK_COUNT (TASK_CONTROL + 1)
 
 struct shallotd {
@@ -49,12 +52,16 @@
 {
 	struct admin_options options = {
 		.settings = daemon->settings,
-		.sources = daemon->tasks,
-		.source_count = DRAIN_TASK_COUNT + (has_store(daemon) ? 1 : 0),
+		.sources = &daemon->tasks[WORK_TASK_FIRST],
+		.source_count = DRAIN_TASK_COUNT - WORK_TASK_FIRST +
+				(has_store(daemon) ? 1 : 0),
 	};
 
 	daemon->admin = admin_task_new(&options, error);
-	return daemon->admin != NULL;
+	if (!daemon->admin)
+		return false;
+	daemon->tasks[TASK_ADMIN] = admin_task_task(daemon->admin);
+	return true;
 }
 
 static bool make_config(struct shallotd *daemon, GError **error)
@@ -62,7 +69,7 @@
 	struct config_task_options options = {
 		.settings = daemon->settings,
 		.node_id = control_task_node_id(daemon->control),
-		.work_tasks = daemon->tasks,
+		.work_tasks = &daemon->tasks[WORK_TASK_FIRST],
 		.work_task_count = WORK_TASK_COUNT,
 		.admin = admin_task_task(daemon->admin),
 		.control = control_task_task(daemon->control),
@@ -81,7 +88,7 @@
 
 static void watch_nodes(struct shallotd *daemon)
 {
-	for (uint32_t i = 0; i < daemon->task_count; i++) {
+	for (uint32_t i = WORK_TASK_FIRST; i < daemon->task_count; i++) {
 		if (i != TASK_CONTROL)
 			control_task_watch(daemon->control, daemon->tasks[i]);
 	}
@@ -118,7 +125,7 @@
 		if (!task_start(daemon->tasks[i], error))
 			return false;
 	}
-	return task_start(admin_task_task(daemon->admin), error);
+	return true;
 }
 
 static void post_or_free(struct task *task, struct message *message)
@@ -137,7 +144,8 @@
 	if (!rules)
 		return false;
 	for (uint32_t i = 0; i < WORK_TASK_COUNT; i++)
-		post_or_free(daemon->tasks[i], rules_message_new(rules));
+		post_or_free(daemon->tasks[WORK_TASK_FIRST + i],
+			     rules_message_new(rules));
 	rule_set_free(rules);
 	post_or_free(admin_task_task(daemon->admin), ready_message_new(true));
 	return true;
@@ -165,14 +173,12 @@
  */
 static void stop_tasks(struct shallotd *daemon)
 {
-	if (daemon->admin)
-		task_stop(admin_task_task(daemon->admin));
-	for (uint32_t i = 0; i < daemon->task_count; i++) {
-		if (i != TASK_CONTROL)
+	for (uint32_t i = 0; i < TASK_COUNT_MAX; i++) {
+		if (daemon->tasks[i] && i != TASK_CONTROL)
 			task_stop(daemon->tasks[i]);
 	}
-	if (daemon->control)
-		task_stop(control_task_task(daemon->control));
+	if (daemon->tasks[TASK_CONTROL])
+		task_stop(daemon->tasks[TASK_CONTROL]);
 }
 
 /* Stops the tasks and frees the node; NULL is allowed. */
@@ -206,7 +212,6 @@
 		.done = options->done,
 	};
 
-	post_or_free(admin_task_task(daemon->admin), ready_message_new(false));
 	daemon->drain = drain_task_new(&drain_options, error);
 	return daemon->drain != NULL;
 }
