--- a/core/src/membership_suspect.c
+++ b/core/src/membership_suspect.c
@@ -245,7 +245,7 @@
 	if (is_cut_off == member->is_cut_off)
 		return;
 	member->is_cut_off = is_cut_off;
-	membership->is_dirty = true;
+	membership_mark_changed(membership);
 }
 
 static void age_member(struct membership *membership, struct member *member,
@@ -256,9 +256,10 @@
 	note_cut_off(membership, member, now_ms);
 	if (!member->is_suspect)
 		return;
-	if (zone_watch_is_cut(membership->zones, zone_id))
+	if (zone_watch_is_due(membership->zones, zone_id, now_ms))
 		membership_judge_zone(membership, zone_id, now_ms);
-	else if (!is_held(membership, member, tally, now_ms))
+	else if (!zone_watch_is_cut(membership->zones, zone_id) &&
+		 !is_held(membership, member, tally, now_ms))
 		age_suspect(membership, member, tally->other_count + 1, now_ms);
 }
 
@@ -307,6 +308,6 @@
 		membership_report(membership, MEMBER_EVENT_FORGOTTEN,
 				  &member->node);
 		member_table_remove(table, member);
-		membership->is_dirty = true;
+		membership_mark_changed(membership);
 	}
 }
--- a/ctl/src/bench_command.c
+++ b/ctl/src/bench_command.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 static const struct bench *const benches[] = {
-	&bench_config,	   &bench_decide, &bench_flows,
+	&bench_config,	   &bench_decide, &bench_members, &bench_flows,
 	&bench_flow_pairs, &bench_path,	  &bench_flood,
 };
 
