--- a/core/test/claim_fault_test.c
+++ b/core/test/claim_fault_test.c
@@ -303,11 +303,8 @@
 	struct claim_fleet fleet;
 	struct places places;
 	uint32_t granted_count = 0;
-	char name[96];
 
-	snprintf(name, sizeof(name), "%s, seed %d", rows[row].name,
-		 _i / (int)ROW_COUNT);
-	test_row("claim_at_once", name);
+	test_row("claim_at_once", rows[row].name);
 	claim_fleet_init(&fleet, (uint64_t)_i);
 	claim_fleet_publish(&fleet, FIRST_MASK, ALL_MASK);
 	claim_fleet_run(&fleet, 1000);
@@ -322,8 +319,8 @@
 		if (fleet.results[1 + i] == CLAIM_GRANTED)
 			granted_count++;
 	}
-	ck_assert_msg(granted_count <= 1, "%s: %u granted", name,
-		      granted_count);
+	ck_assert_msg(granted_count <= 1, "%s, seed %d: %u granted",
+		      rows[row].name, _i, granted_count);
 	claim_fleet_clear(&fleet);
 }
 END_TEST
--- /dev/null
+++ b/core/test/request_parts_test.c
@@ -0,0 +1,390 @@
+/* The small parts of request decisions, each by a table. */
+#include <core/admission.h>
+#include <core/class_queue.h>
+#include <core/outlier.h>
+#include <core/retry_budget.h>
+#include <core/slow_start.h>
+#include <core/target_choice.h>
+#include <core/target_limit.h>
+#include <fakes/test_main.h>
+#include <string.h>
+
+/* Callers 1 to n push in turn while there is room; who is served, in order. */
+static const struct {
+	const char *name;
+	uint32_t limit;
+	uint32_t pushes[3];
+	uint32_t taken[3];
+	const char *served;
+} queue_rows[] = {
+	{"one caller fills it", 4, {9, 0, 0}, {4, 0, 0}, "1111"},
+	{"late callers find their part", 6, {3, 9, 9}, {3, 3, 0}, "121212"},
+	{"a flood leaves the others theirs",
+	 9,
+	 {2, 1, 20},
+	 {2, 1, 3},
+	 "123133"},
+	{"more callers than places", 2, {1, 1, 1}, {1, 1, 0}, "12"},
+	{"no places", 0, {1, 1, 1}, {0, 0, 0}, ""},
+};
+
+START_TEST(test_queue)
+{
+	struct class_queue *queue = class_queue_new(100, 1000);
+	GString *served = g_string_new(NULL);
+	uint64_t request_id;
+
+	test_row("class_queue", queue_rows[_i].name);
+	for (uint32_t caller = 0; caller < 3; caller++) {
+		uint32_t taken = 0;
+
+		for (uint32_t i = 0; i < queue_rows[_i].pushes[caller]; i++) {
+			if (!class_queue_has_room(queue, caller + 1,
+						  queue_rows[_i].limit, 0))
+				continue;
+			class_queue_push(queue, caller + 1, caller + 1, 0);
+			taken++;
+		}
+		ck_assert_uint_eq(taken, queue_rows[_i].taken[caller]);
+	}
+	while (class_queue_peek(queue, &request_id, 0) &&
+	       class_queue_pop(queue, &request_id))
+		g_string_append_printf(served, "%u", (unsigned)request_id);
+	ck_assert_str_eq(served->str, queue_rows[_i].served);
+	ck_assert_uint_eq(class_queue_length(queue), 0);
+	g_string_free(served, TRUE);
+	class_queue_free(queue);
+}
+END_TEST
+
+/* Requests 1 and 2 of caller 1 and 3 of caller 2, and who goes first. */
+static const struct {
+	const char *name;
+	int64_t since_ms[3];
+	uint64_t removed;
+	uint64_t put_back;
+	uint64_t first;
+} order_rows[] = {
+	{"the first caller's turn", {0, 0, 0}, 0, 0, 1},
+	{"the other caller's when that has gone", {0, 0, 0}, 1, 0, 2},
+	{"put back goes first", {0, 0, 0}, 0, 9, 9},
+	{"overdue goes first", {900, 900, 0}, 0, 0, 3},
+};
+
+START_TEST(test_order)
+{
+	struct class_queue *queue = class_queue_new(100, 1000);
+	uint64_t request_id;
+
+	test_row("class_queue_order", order_rows[_i].name);
+	for (uint64_t i = 0; i < 3; i++)
+		class_queue_push(queue, 1 + i / 2, 1 + i,
+				 order_rows[_i].since_ms[i]);
+	if (order_rows[_i].removed)
+		ck_assert(class_queue_remove(queue, 1, order_rows[_i].removed));
+	if (order_rows[_i].put_back)
+		class_queue_push_first(queue, 3, order_rows[_i].put_back, 0);
+	ck_assert(!class_queue_remove(queue, 2, 77));
+	ck_assert(class_queue_peek(queue, &request_id,
+				   order_rows[_i].since_ms[0] + 100));
+	ck_assert_uint_eq(request_id, order_rows[_i].first);
+	class_queue_free(queue);
+}
+END_TEST
+
+#define NO_CLASS CLASS_COUNT
+
+/*
+ * In flight for a second, by class, with what share and limit in thousandths;
+ * every class has requests waiting; which may start.
+ */
+static const struct {
+	const char *name;
+	uint32_t in_flight[CLASS_COUNT];
+	uint32_t share_milli;
+	uint32_t limit_milli;
+	int next;
+} admission_rows[] = {
+	{"idle", {0, 0, 0}, 5000, 7500, CLASS_URGENT},
+	{"urgent at its sure share", {3, 0, 0}, 5000, 7500, CLASS_NORMAL},
+	{"bulk's sure share in an urgent flood",
+	 {6, 2, 0},
+	 5000,
+	 7500,
+	 CLASS_BULK},
+	{"bulk in flight does not hold up urgent",
+	 {4, 2, 4},
+	 5000,
+	 7500,
+	 CLASS_URGENT},
+	{"all shares used", {6, 2, 1}, 5000, 7500, NO_CLASS},
+	{"share below one", {0, 0, 0}, 300, 450, CLASS_URGENT},
+	{"share below one, used", {1, 1, 1}, 300, 450, NO_CLASS},
+	{"nothing to share", {0, 0, 0}, 0, 0, NO_CLASS},
+};
+
+START_TEST(test_admission)
+{
+	static const bool has_waiting[CLASS_COUNT] = {true, true, true};
+	struct admission_limits limits = {admission_rows[_i].share_milli,
+					  admission_rows[_i].limit_milli};
+	struct admission admission;
+	enum work_class next;
+	bool may_start;
+
+	test_row("admission", admission_rows[_i].name);
+	admission_init(&admission);
+	for (int i = 0; i < CLASS_COUNT; i++)
+		admission_changed(&admission, (enum work_class)i,
+				  (int32_t)admission_rows[_i].in_flight[i], 0);
+	may_start =
+		admission_next(&admission, &limits, has_waiting, &next, 1000);
+	ck_assert_int_eq(may_start ? (int)next : NO_CLASS,
+			 admission_rows[_i].next);
+}
+END_TEST
+
+/* A share of 3 slots over 8 nodes: the part of the time that one is in use. */
+START_TEST(test_pacing)
+{
+	static const bool has_waiting[CLASS_COUNT] = {true, false, false};
+	struct admission_limits limits = {375, 375};
+	struct admission admission;
+	uint32_t used_ms = 0;
+	int64_t end_ms = 0;
+	enum work_class next;
+
+	test_row("admission", "pacing");
+	admission_init(&admission);
+	for (int64_t now_ms = 1; now_ms <= 100000; now_ms++) {
+		if (now_ms == end_ms)
+			admission_changed(&admission, CLASS_URGENT, -1, now_ms);
+		if (now_ms >= end_ms &&
+		    admission_next(&admission, &limits, has_waiting, &next,
+				   now_ms)) {
+			admission_changed(&admission, CLASS_URGENT, 1, now_ms);
+			end_ms = now_ms + 40;
+		}
+		used_ms += now_ms < end_ms;
+	}
+	ck_assert_uint_ge(used_ms, 35000);
+	ck_assert_uint_le(used_ms, 50000);
+}
+END_TEST
+
+/* How many of a pool may be ejected at once: never most of it. */
+static const struct {
+	const char *name;
+	uint32_t target_count;
+	uint32_t limit;
+} ejection_rows[] = {
+	{"none", 0, 0},	    {"one", 1, 0},	  {"two", 2, 0},
+	{"three", 3, 1},    {"four", 4, 1},	  {"five", 5, 2},
+	{"fifteen", 15, 5}, {"hundred", 100, 30},
+};
+
+START_TEST(test_ejection)
+{
+	test_row("ejection_limit", ejection_rows[_i].name);
+	ck_assert_uint_eq(
+		outlier_ejection_limit(ejection_rows[_i].target_count),
+		ejection_rows[_i].limit);
+}
+END_TEST
+
+/* f failure, s success, e ejected now, . 1 s passes; is it ejected after? */
+static const struct {
+	const char *name;
+	const char *events;
+	bool is_ejected;
+} outlier_rows[] = {
+	{"four failures", "ffff", false},
+	{"five failures", "fffff", true},
+	{"success in between", "ffffsffff", false},
+	{"back after a second", "fffff.", false},
+	{"one failure after coming back", "fffff.f", true},
+	{"twice as long the second time", "fffff.f.", true},
+	{"back the second time", "fffff.f..", false},
+	{"success forgives", "fffff.sf", false},
+};
+
+START_TEST(test_outlier)
+{
+	struct outlier outlier = {.failure_count = 0};
+	int64_t now_ms = 1;
+
+	test_row("outlier", outlier_rows[_i].name);
+	for (const char *event = outlier_rows[_i].events; *event; event++) {
+		if (*event == '.')
+			now_ms += 1000;
+		else if (*event == 's')
+			outlier_succeeded(&outlier, now_ms);
+		else if (outlier_failed(&outlier))
+			outlier_eject(&outlier, now_ms);
+	}
+	ck_assert_int_eq(outlier_is_ejected(&outlier, now_ms),
+			 outlier_rows[_i].is_ejected);
+}
+END_TEST
+
+/* First attempts counted, and retries allowed out of ten asked for. */
+static const struct {
+	const char *name;
+	uint32_t spent_before;
+	uint32_t earned;
+	uint32_t allowed;
+} budget_rows[] = {
+	{"full at first", 0, 0, 3},
+	{"empty", 3, 0, 0},
+	{"nine attempts earn none", 3, 9, 0},
+	{"ten attempts earn one", 3, 10, 1},
+	{"no more than the limit", 3, 1000, 3},
+};
+
+START_TEST(test_budget)
+{
+	struct retry_budget budget;
+	uint32_t allowed = 0;
+
+	test_row("retry_budget", budget_rows[_i].name);
+	retry_budget_init(&budget, 100, 3000);
+	for (uint32_t i = 0; i < budget_rows[_i].spent_before; i++)
+		ck_assert(retry_budget_spend(&budget));
+	for (uint32_t i = 0; i < budget_rows[_i].earned; i++)
+		retry_budget_earn(&budget);
+	for (uint32_t i = 0; i < 10; i++)
+		allowed += retry_budget_spend(&budget);
+	ck_assert_uint_eq(allowed, budget_rows[_i].allowed);
+}
+END_TEST
+
+/* Age, prompt and slow answers of a cold target, and its share. */
+static const struct {
+	const char *name;
+	int64_t age_ms;
+	uint32_t prompt_count;
+	uint32_t slow_count;
+	uint32_t share_milli;
+	bool is_cold;
+} slow_start_rows[] = {
+	{"warm", 0, 0, 0, 1000, false},
+	{"cold", 0, 0, 0, 100, true},
+	{"half way", 5000, 0, 0, 550, true},
+	{"over", 10000, 0, 0, 1000, true},
+	{"slow answers do not help", 0, 0, 50, 100, true},
+	{"prompt answers do", 0, 4, 0, 300, true},
+	{"enough prompt answers end it", 0, 18, 0, 1000, true},
+};
+
+START_TEST(test_slow_start)
+{
+	struct slow_start start = {.began_ms = 0};
+
+	test_row("slow_start", slow_start_rows[_i].name);
+	if (slow_start_rows[_i].is_cold)
+		slow_start_begin(&start, 0);
+	for (uint32_t i = 0; i < slow_start_rows[_i].prompt_count; i++)
+		slow_start_answered(&start, 20, 20);
+	for (uint32_t i = 0; i < slow_start_rows[_i].slow_count; i++)
+		slow_start_answered(&start, 80, 20);
+	ck_assert_uint_eq(
+		slow_start_share_milli(&start, slow_start_rows[_i].age_ms),
+		slow_start_rows[_i].share_milli);
+}
+END_TEST
+
+/* Answers and sheds of a target of 3 slots, 100 ms apart; its limit after. */
+static const struct {
+	const char *name;
+	uint32_t node_count;
+	uint32_t answer_count;
+	uint32_t latency_ms;
+	uint32_t shed_count;
+	uint32_t least_milli;
+	uint32_t most_milli;
+} limit_rows[] = {
+	{"alone", 1, 0, 0, 0, 4500, 4500},
+	{"eight nodes", 8, 0, 0, 0, 562, 562},
+	{"no nodes count as one", 0, 0, 0, 0, 4500, 4500},
+	{"answers raise it", 8, 100, 20, 0, 937, 937},
+	{"sheds lower it", 8, 0, 0, 5, 400, 470},
+	{"never below half the share", 8, 0, 0, 1000, 187, 187},
+	{"slow answers lower it", 8, 100, 200, 0, 187, 200},
+};
+
+START_TEST(test_limit)
+{
+	struct target_limit limit;
+	int64_t now_ms = 0;
+
+	test_row("target_limit", limit_rows[_i].name);
+	target_limit_init(&limit, 3, limit_rows[_i].node_count);
+	for (uint32_t i = 0; i < limit_rows[_i].answer_count; i++)
+		target_limit_answered(&limit, limit_rows[_i].latency_ms, 20,
+				      now_ms += 100);
+	for (uint32_t i = 0; i < limit_rows[_i].shed_count; i++) {
+		target_limit_shed(&limit, 20, now_ms += 100);
+		ck_assert(target_limit_is_busy(&limit, now_ms));
+		ck_assert(!target_limit_is_busy(&limit, now_ms + 10));
+	}
+	ck_assert_uint_ge(target_limit_milli(&limit),
+			  limit_rows[_i].least_milli);
+	ck_assert_uint_le(target_limit_milli(&limit),
+			  limit_rows[_i].most_milli);
+	ck_assert_uint_ge(target_limit_in_flight_max(&limit), 1);
+}
+END_TEST
+
+/* Two candidates, and which of them every draw picks; -1 for either. */
+static const struct {
+	const char *name;
+	struct target_candidate candidates[2];
+	uint32_t first_index;
+	int wanted;
+} choice_rows[] = {
+	{"fewer in flight", {{0, 2, 375, 1000}, {1, 1, 375, 1000}}, 9, 1},
+	{"more slots", {{0, 1, 750, 1000}, {1, 1, 375, 1000}}, 9, 0},
+	{"much slower", {{0, 1, 375, 4000}, {1, 1, 375, 1000}}, 9, 1},
+	{"a little slower", {{0, 1, 375, 1400}, {1, 1, 375, 1000}}, 9, -1},
+	{"just ended a request", {{0, 1, 375, 1000}, {1, 1, 375, 1000}}, 1, 1},
+};
+
+START_TEST(test_choice)
+{
+	GRand *rand = g_rand_new_with_seed(1);
+	uint32_t counts[2] = {0, 0};
+
+	test_row("target_choice", choice_rows[_i].name);
+	for (int i = 0; i < 100; i++)
+		counts[target_choice(choice_rows[_i].candidates, 2,
+				     choice_rows[_i].first_index, rand)]++;
+	if (choice_rows[_i].wanted >= 0)
+		ck_assert_uint_eq(counts[choice_rows[_i].wanted], 100);
+	else
+		ck_assert(counts[0] > 20 && counts[1] > 20);
+	ck_assert_uint_eq(target_choice(NULL, 0, 0, rand), CANDIDATE_NONE);
+	g_rand_free(rand);
+}
+END_TEST
+
+#define ADD(test, rows)                                                        \
+	tcase_add_loop_test(tcase, test, 0, sizeof(rows) / sizeof((rows)[0]))
+
+int main(void)
+{
+	Suite *suite = suite_create("request_parts");
+	TCase *tcase = tcase_create("parts");
+
+	ADD(test_queue, queue_rows);
+	ADD(test_order, order_rows);
+	ADD(test_admission, admission_rows);
+	tcase_add_test(tcase, test_pacing);
+	ADD(test_ejection, ejection_rows);
+	ADD(test_outlier, outlier_rows);
+	ADD(test_budget, budget_rows);
+	ADD(test_slow_start, slow_start_rows);
+	ADD(test_limit, limit_rows);
+	ADD(test_choice, choice_rows);
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
