Give each node its claims task

Cause: the request front end had nobody to ask about idempotency keys, so every request with one was answered 'unknown'.

Change: shallotd makes the claims task, routes the procedures of claims to it, hands it to the request and the configuration task and shows its counters.

Ruled out: a roster of itself alone for a node without a store. Two such nodes behind one fabric would both grant a key.

Conclusion: without a store no key is granted, as before; with one, the roster that the configuration task reads puts claims in force.

--- a/daemon/src/shallotd.c
+++ b/daemon/src/shallotd.c
@@ -1,6 +1,8 @@
 #include <daemon/shallotd.h>
 
+#include <core/zone.h>
 #include <daemon/admin_task.h>
+#include <daemon/claims_task.h>
 #include <daemon/config_task.h>
 #include <daemon/control_task.h>
 #include <daemon/drain_task.h>
@@ -20,6 +22,7 @@
 	TASK_PACKETS,
 	TASK_REQUESTS,
 	TASK_CONTROL,
+	TASK_CLAIMS,
 	TASK_CONFIG,
 	TASK_COUNT_MAX,
 };
@@ -27,8 +30,9 @@
 #define WORK_TASK_FIRST TASK_PACKETS
 #define WORK_TASK_COUNT (TASK_CONTROL - WORK_TASK_FIRST)
 
-/* All tasks but the configuration task are drained. */
+/* The claims and the configuration serve to the end and are not drained. */
 #define DRAIN_TASK_COUNT (TASK_CONTROL + 1)
+#define TASK_COUNT_LEAST (TASK_CLAIMS + 1)
 
 struct shallotd {
 	const struct settings *settings;
@@ -38,6 +42,7 @@
 	struct drain_task *drain;
 	struct config_task *config;
 	struct control_task *control;
+	struct claims_task *claims;
 	struct task *tasks[TASK_COUNT_MAX];
 	uint32_t task_count;
 };
@@ -53,7 +58,7 @@
 	struct admin_options options = {
 		.settings = daemon->settings,
 		.sources = &daemon->tasks[WORK_TASK_FIRST],
-		.source_count = DRAIN_TASK_COUNT - WORK_TASK_FIRST +
+		.source_count = TASK_COUNT_LEAST - WORK_TASK_FIRST +
 				(has_store(daemon) ? 1 : 0),
 	};
 
@@ -73,6 +78,7 @@
 		.work_task_count = WORK_TASK_COUNT,
 		.admin = admin_task_task(daemon->admin),
 		.control = control_task_task(daemon->control),
+		.claims = claims_task_task(daemon->claims),
 	};
 
 	if (!has_store(daemon))
@@ -94,25 +100,50 @@
 	}
 }
 
-static bool make_tasks(struct shallotd *daemon, GError **error)
+static bool make_claims(struct shallotd *daemon, GError **error)
 {
-	struct request_task_options request_options = {
+	struct claims_options options = {
 		.settings = daemon->settings,
+		.node_id = control_task_node_id(daemon->control),
+		.control = control_task_task(daemon->control),
 	};
 
-	daemon->packets = packet_task_new(daemon->settings, error);
-	if (!daemon->packets)
+	daemon->claims = claims_task_new(&options, error);
+	if (!daemon->claims)
 		return false;
-	daemon->requests = request_task_new(&request_options, error);
+	daemon->tasks[TASK_CLAIMS] = claims_task_task(daemon->claims);
+	control_task_route(daemon->control, PROCEDURE_CLAIMS_FIRST,
+			   daemon->tasks[TASK_CLAIMS]);
+	return true;
+}
+
+static bool make_requests(struct shallotd *daemon, GError **error)
+{
+	struct request_task_options options = {
+		.settings = daemon->settings,
+		.claims = daemon->tasks[TASK_CLAIMS],
+	};
+
+	daemon->requests = request_task_new(&options, error);
 	if (!daemon->requests)
 		return false;
+	daemon->tasks[TASK_REQUESTS] = request_task_task(daemon->requests);
+	return true;
+}
+
+static bool make_tasks(struct shallotd *daemon, GError **error)
+{
+	daemon->packets = packet_task_new(daemon->settings, error);
+	if (!daemon->packets)
+		return false;
 	daemon->control = control_task_new(daemon->settings, error);
 	if (!daemon->control)
 		return false;
 	daemon->tasks[TASK_PACKETS] = packet_task_task(daemon->packets);
-	daemon->tasks[TASK_REQUESTS] = request_task_task(daemon->requests);
 	daemon->tasks[TASK_CONTROL] = control_task_task(daemon->control);
-	daemon->task_count = DRAIN_TASK_COUNT;
+	daemon->task_count = TASK_COUNT_LEAST;
+	if (!make_claims(daemon, error) || !make_requests(daemon, error))
+		return false;
 	if (!make_admin(daemon, error) || !make_config(daemon, error))
 		return false;
 	watch_nodes(daemon);
@@ -190,6 +221,7 @@
 	admin_task_free(daemon->admin);
 	config_task_free(daemon->config);
 	request_task_free(daemon->requests);
+	claims_task_free(daemon->claims);
 	packet_task_free(daemon->packets);
 	control_task_free(daemon->control);
 	drain_task_free(daemon->drain);
