Renew the lease of claim holders as soon as a roster has spread

Cause: three real nodes, one killed: 12 s later the two that were left still answered fresh keys with 'unknown'. The one that heard of the new roster first had probed the other before that knew the roster, and probed again only after a third of the lease.

Change: a member that probes from the same epoch is probed back when it has never answered in it, and a holder without a lease probes each second.

Conclusion: the lease follows the roster within a round trip.

--- a/core/src/claim_holder.c
+++ b/core/src/claim_holder.c
@@ -2,6 +2,8 @@
 
 #define FETCH_INTERVAL_MS 200
 #define PROBE_PART 3
+#define NO_LEASE_PROBE_MS 1000
+#define HEARD_NEVER_MS INT64_MIN
 
 /*
  * Makes a holder without a roster, which decides nothing. The caller frees it
@@ -69,6 +71,27 @@
 	send_to_members(holder, &holder->roster.epochs[0], &message);
 }
 
+/*
+ * Probes a member that has come to this epoch after its last answer. Without
+ * it the lease of a roster that spreads unevenly would wait for the next round
+ * of probes.
+ */
+void claim_holder_probe_back(struct claim_holder *holder, uint64_t node_id,
+			     int64_t now_ms)
+{
+	const struct roster_epoch *epoch = &holder->roster.epochs[0];
+	struct claim_message message = {
+		.kind = CLAIM_MESSAGE_PROBE,
+		.sent_ms = now_ms,
+	};
+
+	for (uint32_t i = 0; i < epoch->member_count; i++) {
+		if (epoch->members[i].node_id == node_id &&
+		    holder->heard_ms[i] == HEARD_NEVER_MS)
+			claim_holder_send(holder, node_id, &message);
+	}
+}
+
 /* Asks one former member for the claims that it has not sent yet. */
 void claim_holder_fetch(struct claim_holder *holder, struct claim_step *step,
 			uint32_t index)
@@ -157,7 +180,7 @@
 	holder->seen_epoch = MAX(holder->seen_epoch, roster->epoch);
 	holder->began_ms = now_ms;
 	for (uint32_t i = 0; i < ROSTER_MEMBERS_MAX; i++)
-		holder->heard_ms[i] = INT64_MIN;
+		holder->heard_ms[i] = HEARD_NEVER_MS;
 	if (!is_member(holder))
 		return;
 	claim_holder_drop_steps(holder);
@@ -268,13 +291,15 @@
  */
 int64_t claim_holder_tick(struct claim_holder *holder, int64_t now_ms)
 {
-	uint32_t probe_interval_ms = holder->options.lease_ms / PROBE_PART;
+	uint32_t probe_interval_ms = NO_LEASE_PROBE_MS;
 
 	claim_table_expire(holder->table, now_ms);
 	if (!is_member(holder))
 		return INT64_MAX;
 	outlast(holder, now_ms);
 	claim_holder_drop_steps(holder);
+	if (has_lease(holder, now_ms))
+		probe_interval_ms = holder->options.lease_ms / PROBE_PART;
 	if (now_ms - holder->probed_ms >= probe_interval_ms)
 		probe(holder, now_ms);
 	if (claim_holder_is_complete(holder))
--- a/core/src/claim_holder_state.h
+++ b/core/src/claim_holder_state.h
@@ -23,6 +23,8 @@
 				     guint index);
 void claim_holder_send(struct claim_holder *holder, uint64_t to_node_id,
 		       struct claim_message *message);
+void claim_holder_probe_back(struct claim_holder *holder, uint64_t node_id,
+			     int64_t now_ms);
 void claim_holder_fetch(struct claim_holder *holder, struct claim_step *step,
 			uint32_t index);
 void claim_holder_drop_steps(struct claim_holder *holder);
--- a/core/src/claim_messages.c
+++ b/core/src/claim_messages.c
@@ -134,6 +134,8 @@
 	};
 
 	claim_holder_send(holder, from, &answer);
+	if (message->epoch == holder->roster.epoch)
+		claim_holder_probe_back(holder, from, now_ms);
 }
 
 static void on_probe_answer(struct claim_holder *holder, uint64_t from,
--- a/core/test/claim_fault_test.c
+++ b/core/test/claim_fault_test.c
@@ -363,6 +363,56 @@
 }
 END_TEST
 
+/*
+ * A roster reaches some nodes now and the others later; a fresh key is asked
+ * for a moment after the last has heard.
+ */
+static const struct {
+	const char *name;
+	uint32_t mask;
+	uint32_t first_told_mask;
+	uint32_t later_ms;
+	uint32_t asked_after_ms;
+} spread_rows[] = {
+	{"all at once", FIRST_MASK & ~1U, ALL_MASK, 0, 100},
+	{"half of them later", FIRST_MASK & ~1U, 0x55, 2000, 100},
+	{"one before all others", FIRST_MASK & ~1U, 0x40, 2000, 100},
+	{"all but one", FIRST_MASK & ~1U, ALL_MASK & ~0x40U, 2000, 100},
+	{"two members left", 0x60, 0x20, 2000, 100},
+	{"three members left", 0x70, 0x20, 2000, 100},
+};
+
+static void tell(struct claim_fleet *fleet)
+{
+	for (uint32_t i = 0; i < CLAIM_NODES; i++)
+		claim_director_set_roster(fleet->nodes[i].claims,
+					  &fleet->roster,
+					  driver_now_ms(fleet->driver));
+}
+
+START_TEST(test_spread)
+{
+	struct claim_fleet fleet;
+	struct places places;
+
+	test_row("claim_spread", spread_rows[_i].name);
+	claim_fleet_init(&fleet, 1);
+	claim_fleet_publish(&fleet, FIRST_MASK, ALL_MASK);
+	claim_fleet_run(&fleet, 1000);
+	places = find_places(&fleet);
+	claim_fleet_publish(&fleet, spread_rows[_i].mask,
+			    spread_rows[_i].first_told_mask);
+	claim_fleet_run(&fleet, 1000 + spread_rows[_i].later_ms);
+	tell(&fleet);
+	claim_fleet_run(&fleet, 1000 + spread_rows[_i].later_ms +
+					spread_rows[_i].asked_after_ms);
+	claim(&fleet, places.owner, FIRST, places.key);
+	claim_fleet_run(&fleet, 1900 + spread_rows[_i].later_ms);
+	ck_assert_int_eq(fleet.results[FIRST], CLAIM_GRANTED);
+	claim_fleet_clear(&fleet);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("claim_fault");
@@ -374,6 +424,8 @@
 	tcase_add_loop_test(tcase, test_at_once, 0, (int)(ROW_COUNT * 20));
 	tcase_add_loop_test(tcase, test_lifetime, 0,
 			    sizeof(lifetime_rows) / sizeof(lifetime_rows[0]));
+	tcase_add_loop_test(tcase, test_spread, 0,
+			    sizeof(spread_rows) / sizeof(spread_rows[0]));
 	suite_add_tcase(suite, tcase);
 	return test_main(suite);
 }
