Bound what keyed requests and reported states may outlive

Cause: a service with a timeout beyond the lifetime of a claim could start a request whose claim had ended.

Change: a request with a key has at most 5 min until its last start; states of unlisted targets are forgotten with the next rules after a minute. The catalog is split: target_states holds what is reported, limits belong to the pool, ejection to the service.

--- a/core/src/request_attempts.c
+++ b/core/src/request_attempts.c
@@ -96,7 +96,7 @@
 		request_catalog_service(director->catalog, attempt->service_id);
 
 	if (outlier_failed(&attempt->track->outlier) && service &&
-	    request_catalog_may_eject(director->catalog, service, now_ms))
+	    request_service_may_eject(service, now_ms))
 		outlier_eject(&attempt->track->outlier, now_ms);
 }
 
--- a/core/src/request_catalog.c
+++ b/core/src/request_catalog.c
@@ -1,5 +1,7 @@
 #include "request_catalog.h"
 
+#include "target_states.h"
+
 #define POOL_NONE UINT32_MAX
 
 struct request_catalog {
@@ -7,7 +9,7 @@
 	struct rule_set *rules;
 	GHashTable *services;
 	GHashTable *tracks;
-	GHashTable *states;
+	struct target_states *states;
 	GPtrArray *pools;
 };
 
@@ -48,8 +50,7 @@
 	catalog->services = new_services();
 	catalog->tracks = g_hash_table_new_full(
 		endpoint_key_hash, endpoint_key_equal, NULL, g_free);
-	catalog->states = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						g_free, NULL);
+	catalog->states = target_states_new();
 	catalog->pools = g_ptr_array_new_with_free_func(free_pool);
 	return catalog;
 }
@@ -61,7 +62,7 @@
 		return;
 	g_hash_table_destroy(catalog->services);
 	g_hash_table_destroy(catalog->tracks);
-	g_hash_table_destroy(catalog->states);
+	target_states_free(catalog->states);
 	g_ptr_array_free(catalog->pools, TRUE);
 	rule_set_free(catalog->rules);
 	g_free(catalog);
@@ -95,17 +96,6 @@
 	return track;
 }
 
-static enum target_state state_of(const struct request_catalog *catalog,
-				  const struct target *target)
-{
-	gpointer state;
-
-	if (g_hash_table_lookup_extended(catalog->states, &target->target_id,
-					 NULL, &state))
-		return (enum target_state)GPOINTER_TO_INT(state);
-	return target->state;
-}
-
 static void merge_pools(GPtrArray *services, uint32_t from, uint32_t into)
 {
 	for (guint i = 0; i < services->len; i++) {
@@ -136,7 +126,7 @@
 			track_of(catalog, target, is_cold, now_ms);
 
 		g_ptr_array_add(service->tracks, track);
-		service->states[i] = state_of(catalog, target);
+		service->states[i] = target_states_of(catalog->states, target);
 		if (track->pool_index != POOL_NONE &&
 		    track->pool_index != service->pool_index)
 			merge_pools(services, track->pool_index,
@@ -266,6 +256,7 @@
 	g_hash_table_destroy(former);
 	rule_set_free(catalog->rules);
 	catalog->rules = copy;
+	target_states_forget(catalog->states, catalog->rules, now_ms);
 }
 
 /* Sets how many live nodes share the targets. */
@@ -307,9 +298,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	g_hash_table_replace(catalog->states,
-			     g_memdup2(&target_id, sizeof(target_id)),
-			     GINT_TO_POINTER((gint)state));
+	target_states_set(catalog->states, target_id, state, now_ms);
 	g_hash_table_iter_init(&iter, catalog->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		set_state_in(value, target_id, state, now_ms);
@@ -336,59 +325,3 @@
 {
 	return g_ptr_array_index(catalog->pools, index);
 }
-
-static bool takes_work(const struct request_service *service, uint32_t index,
-		       int64_t now_ms)
-{
-	const struct target_track *track =
-		g_ptr_array_index(service->tracks, index);
-
-	return service->states[index] != TARGET_LEAVING &&
-	       service->states[index] != TARGET_CUT_OFF &&
-	       !outlier_is_ejected(&track->outlier, now_ms);
-}
-
-static void add_limits(struct admission_limits *limits,
-		       struct target_track *track, int64_t now_ms)
-{
-	uint64_t share = slow_start_share_milli(&track->slow_start, now_ms);
-
-	limits->share_milli +=
-		(uint32_t)(target_limit_share_milli(&track->limit) * share /
-			   SLOW_START_FULL_MILLI);
-	limits->limit_milli += (uint32_t)(target_limit_milli(&track->limit) *
-					  share / SLOW_START_FULL_MILLI);
-}
-
-/* Adds up what the targets of a pool that take work leave this node. */
-struct admission_limits request_pool_limits(const struct request_pool *pool,
-					    int64_t now_ms)
-{
-	struct admission_limits limits = {.share_milli = 0};
-
-	for (guint i = 0; i < pool->members->len; i++) {
-		const struct pool_member *member =
-			&g_array_index(pool->members, struct pool_member, i);
-
-		if (takes_work(member->service, member->index, now_ms))
-			add_limits(&limits, member->track, now_ms);
-	}
-	return limits;
-}
-
-/* Tells whether one more target of the service may be ejected. */
-bool request_catalog_may_eject(const struct request_catalog *catalog,
-			       const struct request_service *service,
-			       int64_t now_ms)
-{
-	uint32_t ejected_count = 0;
-
-	for (guint i = 0; i < service->tracks->len; i++) {
-		const struct target_track *track =
-			g_ptr_array_index(service->tracks, i);
-
-		if (outlier_is_ejected(&track->outlier, now_ms))
-			ejected_count++;
-	}
-	return ejected_count < outlier_ejection_limit(service->tracks->len);
-}
--- a/core/src/request_catalog.h
+++ b/core/src/request_catalog.h
@@ -31,10 +31,5 @@
 uint32_t request_catalog_pool_count(const struct request_catalog *catalog);
 struct request_pool *
 request_catalog_pool_at(const struct request_catalog *catalog, uint32_t index);
-struct admission_limits request_pool_limits(const struct request_pool *pool,
-					    int64_t now_ms);
-bool request_catalog_may_eject(const struct request_catalog *catalog,
-			       const struct request_service *service,
-			       int64_t now_ms);
 
 #endif
--- a/core/src/request_director.c
+++ b/core/src/request_director.c
@@ -4,6 +4,8 @@
 
 #define CLAIM_TIMEOUT_MS 1000
 #define REFUSAL_TIMEOUT_MS 8
+/* Well within the lifetime of a claim, so that none is used after its end. */
+#define KEYED_DEADLINE_MAX_MS 300000
 #define RETRY_AFTER_BASE_MS 1000
 #define MICRO_PER_MILLI 1000
 #define QUEUE_LEAST 6
@@ -196,11 +198,15 @@
 }
 
 static struct open_request *add_request(struct request_director *director,
-					const struct request_event *event)
+					const struct request_event *event,
+					int64_t now_ms)
 {
 	struct open_request *request = g_new0(struct open_request, 1);
 
 	request->event = *event;
+	if (needs_claim(event))
+		request->event.deadline_ms =
+			MIN(event->deadline_ms, now_ms + KEYED_DEADLINE_MAX_MS);
 	request->sequence = director->next_sequence++;
 	g_hash_table_insert(director->requests, &request->event.request_id,
 			    request);
@@ -221,7 +227,7 @@
 
 	if (g_hash_table_contains(director->requests, &event->request_id))
 		return;
-	request = add_request(director, event);
+	request = add_request(director, event, now_ms);
 	if (service)
 		request->work_class = service->rule->service.work_class;
 	if (g_hash_table_size(director->requests) >
--- a/core/src/request_pool.c
+++ b/core/src/request_pool.c
@@ -1,5 +1,7 @@
 #include "request_pool.h"
 
+#include "request_service.h"
+
 /* How long a class may be expected to wait for its turn. */
 static const uint32_t wait_ms[CLASS_COUNT] = {
 	[CLASS_URGENT] = 250,
@@ -46,3 +48,42 @@
 	}
 	return false;
 }
+
+static bool takes_work(const struct request_service *service, uint32_t index,
+		       int64_t now_ms)
+{
+	const struct target_track *track =
+		g_ptr_array_index(service->tracks, index);
+
+	return service->states[index] != TARGET_LEAVING &&
+	       service->states[index] != TARGET_CUT_OFF &&
+	       !outlier_is_ejected(&track->outlier, now_ms);
+}
+
+static void add_limits(struct admission_limits *limits,
+		       struct target_track *track, int64_t now_ms)
+{
+	uint64_t share = slow_start_share_milli(&track->slow_start, now_ms);
+
+	limits->share_milli +=
+		(uint32_t)(target_limit_share_milli(&track->limit) * share /
+			   SLOW_START_FULL_MILLI);
+	limits->limit_milli += (uint32_t)(target_limit_milli(&track->limit) *
+					  share / SLOW_START_FULL_MILLI);
+}
+
+/* Adds up what the targets of a pool that take work leave this node. */
+struct admission_limits request_pool_limits(const struct request_pool *pool,
+					    int64_t now_ms)
+{
+	struct admission_limits limits = {.share_milli = 0};
+
+	for (guint i = 0; i < pool->members->len; i++) {
+		const struct pool_member *member =
+			&g_array_index(pool->members, struct pool_member, i);
+
+		if (takes_work(member->service, member->index, now_ms))
+			add_limits(&limits, member->track, now_ms);
+	}
+	return limits;
+}
--- a/core/src/request_service.c
+++ b/core/src/request_service.c
@@ -62,3 +62,19 @@
 
 	return usual_ms ? usual_ms : 1;
 }
+
+/* Tells whether one more of the service's targets may be ejected. */
+bool request_service_may_eject(const struct request_service *service,
+			       int64_t now_ms)
+{
+	uint32_t ejected_count = 0;
+
+	for (guint i = 0; i < service->tracks->len; i++) {
+		const struct target_track *track =
+			g_ptr_array_index(service->tracks, i);
+
+		if (outlier_is_ejected(&track->outlier, now_ms))
+			ejected_count++;
+	}
+	return ejected_count < outlier_ejection_limit(service->tracks->len);
+}
--- a/core/src/request_service.h
+++ b/core/src/request_service.h
@@ -26,5 +26,7 @@
 void request_service_learn(struct request_service *service,
 			   uint32_t latency_ms);
 uint32_t request_service_usual_ms(const struct request_service *service);
+bool request_service_may_eject(const struct request_service *service,
+			       int64_t now_ms);
 
 #endif
--- a/core/test/request_outcome_test.c
+++ b/core/test/request_outcome_test.c
@@ -183,6 +183,38 @@
 }
 END_TEST
 
+/* How long a request may take by itself, and what its attempt gets. */
+static const struct {
+	const char *name;
+	int64_t deadline_ms;
+	int64_t due_ms;
+	bool has_key;
+} deadline_rows[] = {
+	{"short, no key", 1000, 1000, false},
+	{"short, key", 1000, 1000, true},
+	{"an hour, no key", 3600000, 3600000, false},
+	{"an hour, key outlived by its claim", 3600000, 300000, true},
+};
+
+START_TEST(test_deadline)
+{
+	struct request_event event =
+		probe_event(1, CLASS_URGENT, deadline_rows[_i].deadline_ms);
+	struct probe probe;
+
+	test_row("request_deadline", deadline_rows[_i].name);
+	probe_init(&probe, 4, 3, 1);
+	event.is_repeatable = false;
+	event.has_idempotency_key = deadline_rows[_i].has_key;
+	request_director_arrive(probe.director, &event, 0);
+	if (deadline_rows[_i].has_key)
+		request_director_claimed(probe.director, 1, CLAIM_GRANTED, 3);
+	ck_assert_uint_eq(probe.start_count, 1);
+	ck_assert_int_eq(probe.started_due_ms[0], deadline_rows[_i].due_ms);
+	probe_clear(&probe);
+}
+END_TEST
+
 /* Late events of an attempt that timed out or whose caller has gone. */
 static const struct {
 	const char *name;
@@ -233,6 +265,8 @@
 			    (int)(ROW_COUNT * KIND_COUNT));
 	tcase_add_loop_test(tcase, test_claim, 0,
 			    sizeof(claim_rows) / sizeof(claim_rows[0]));
+	tcase_add_loop_test(tcase, test_deadline, 0,
+			    sizeof(deadline_rows) / sizeof(deadline_rows[0]));
 	tcase_add_loop_test(tcase, test_late, 0,
 			    sizeof(late_rows) / sizeof(late_rows[0]));
 	suite_add_tcase(suite, tcase);
