Let the thread sanitizer see what tasks pass between them

Cause: the thread sanitizer reported races in claims_task_test. One lay in the test, which used a GAsyncQueue; the others in GLib's slice allocator, which hands memory from thread to thread under locks of its own that the sanitizer cannot see.

Ruled out: a suppression file, which would also hide real races in messages.

Conclusion: no race in the claims task itself.

--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -24,6 +24,8 @@
 endfunction()
 
 # Tests may use the stand-ins of package fakes whatever package they belong to.
+# G_SLICE: the sanitizers see through malloc, not through GLib's own pools, whose
+# locks the thread sanitizer cannot see.
 function(shallot_package_tests name)
 	file(GLOB tests CONFIGURE_DEPENDS
 		${CMAKE_SOURCE_DIR}/${name}/test/*_test.c)
@@ -41,7 +43,7 @@
 			COMMAND ${name}_${test_name})
 		set_tests_properties(${name}/${test_name} PROPERTIES
 			TIMEOUT 300 LABELS ${name}
-			ENVIRONMENT "CK_FORK=no;SHALLOT_SOURCE=${CMAKE_SOURCE_DIR}")
+			ENVIRONMENT "CK_FORK=no;G_SLICE=always-malloc;SHALLOT_SOURCE=${CMAKE_SOURCE_DIR}")
 	endforeach()
 endfunction()
 
