--- a/core/src/membership.c
+++ b/core/src/membership.c
@@ -100,8 +100,12 @@
 
 static void note_digest(struct membership *membership, int64_t now_ms)
 {
-	uint64_t digest = member_table_digest(membership->table);
+	uint64_t digest;
 
+	if (!membership->is_digest_stale)
+		return;
+	membership->is_digest_stale = false;
+	digest = member_table_digest(membership->table);
 	if (digest == membership->digest)
 		return;
 	membership->digest = digest;
@@ -157,6 +161,15 @@
 	}
 }
 
+static void note_heard(struct membership *membership, uint64_t node_id,
+		       int64_t now_ms)
+{
+	struct member *member = member_table_find(membership->table, node_id);
+
+	if (member)
+		member->heard_ms = now_ms;
+}
+
 /*
  * Takes in an authentic message. Messages of other regions, and those that
  * this node sent itself, are dropped.
@@ -172,6 +185,7 @@
 	    from_node_id == self->node_id)
 		return;
 	membership_notice_pause(membership, now_ms);
+	note_heard(membership, from_node_id, now_ms);
 	merge_all(membership, from_node_id, message, now_ms);
 	dispatch(membership, from_node_id, from, message, now_ms);
 	membership_on_digest(membership, from_node_id, from,
@@ -202,7 +216,7 @@
 	self->is_unsure = false;
 	self->node.state = state;
 	self->last_accuser_id = self->node.node_id;
-	membership->is_dirty = true;
+	membership_mark_changed(membership);
 	membership_spread(membership, self);
 	note_digest(membership, now_ms);
 	membership->next_gossip_ms = now_ms;
