Bound connections by the process's descriptors

With the usual soft limit of 1024 descriptors, 4000 allowed connections would have made accepting fail again and again in a loop that never sleeps.

shallotd raises its soft limit to the hard one, and the front end allows no more connections than descriptors can carry, and says so. A request whose caller has closed before it is decided is not started any more. The admin address has limits of its own.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -6,6 +6,7 @@
 #include <signal.h>
 #include <stdatomic.h>
 #include <stdio.h>
+#include <sys/resource.h>
 #include <task/log.h>
 #include <unistd.h>
 
@@ -170,6 +171,17 @@
 	return code;
 }
 
+/* Each connection needs descriptors; the soft limit is often 1024. */
+static void raise_descriptor_limit(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+		return;
+	limit.rlim_cur = limit.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 static int run(const char *path, const struct settings *settings)
 {
 	struct log_options log_options = {
@@ -188,6 +200,7 @@
 	int code;
 
 	block_signals(&signals);
+	raise_descriptor_limit();
 	code = run_node(&process, &signals);
 	log_free(process.log);
 	return code;
--- a/daemon/src/admin_task.c
+++ b/daemon/src/admin_task.c
@@ -10,6 +10,8 @@
 
 #define MAILBOX_CAPACITY 256
 #define COLLECT_TIMEOUT_MS 500
+#define HEADER_BYTES_MAX 8192
+#define IDLE_TIMEOUT_S 30
 #define STATUS_OK 200
 #define STATUS_UNAVAILABLE 503
 
@@ -134,6 +136,9 @@
 
 	admin->http = evhttp_new(task_base(task));
 	evhttp_set_allowed_methods(admin->http, EVHTTP_REQ_GET);
+	evhttp_set_max_headers_size(admin->http, HEADER_BYTES_MAX);
+	evhttp_set_max_body_size(admin->http, 0);
+	evhttp_set_timeout(admin->http, IDLE_TIMEOUT_S);
 	evhttp_set_cb(admin->http, "/metrics", on_metrics, admin);
 	evhttp_set_cb(admin->http, "/healthz", on_healthz, admin);
 	evhttp_set_cb(admin->http, "/readyz", on_readyz, admin);
--- a/daemon/src/caller_connection.c
+++ b/daemon/src/caller_connection.c
@@ -1,5 +1,7 @@
 #include "caller_connection.h"
 
+#include "caller_watch.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <sys/socket.h>
@@ -16,6 +18,7 @@
 	struct bufferevent *stream;
 	struct timer *timer;
 	struct event *close_event;
+	struct caller_watch *watch;
 	enum connection_phase phase;
 	uint64_t held_bytes;
 	/* Whoever answers the current request. */
@@ -41,6 +44,15 @@
 		((struct caller_connection *)context)->options.http);
 }
 
+/* Between answers evhttp reads the end of the connection itself. */
+static void on_caller_closed(void *context)
+{
+	struct caller_connection *connection = context;
+
+	if (connection->phase == PHASE_ANSWERING)
+		caller_connection_abort(connection);
+}
+
 static void start_reading(struct caller_connection *connection)
 {
 	connection->phase = PHASE_READING;
@@ -82,6 +94,7 @@
 	if (connection->gone)
 		connection->gone(connection->user);
 	connection->options.closed(connection->options.context, connection);
+	caller_watch_free(connection->watch);
 	timer_free(connection->timer);
 	event_free(connection->close_event);
 	g_free(connection);
@@ -99,6 +112,9 @@
 	connection->timer = timer_new(options->task, connection, on_timer);
 	connection->close_event = event_new(task_base(options->task), -1, 0,
 					    on_close, connection);
+	connection->watch = caller_watch_new(
+		task_base(options->task), bufferevent_getfd(connection->stream),
+		connection, on_caller_closed);
 	evhttp_connection_set_closecb(options->http, on_closed, connection);
 	evbuffer_add_cb(bufferevent_get_input(connection->stream), on_input,
 			connection);
@@ -114,6 +130,14 @@
 	connection->phase = PHASE_ANSWERING;
 	connection->user = user;
 	connection->gone = gone;
+	if (caller_connection_is_closed(connection))
+		caller_connection_abort(connection);
+}
+
+/* Tells whether the caller has closed its side. */
+bool caller_connection_is_closed(const struct caller_connection *connection)
+{
+	return caller_watch_is_closed(connection->watch);
 }
 
 /* The answer is written; the connection may idle or carry the next request. */
--- a/daemon/src/caller_connection.h
+++ b/daemon/src/caller_connection.h
@@ -27,6 +27,7 @@
 caller_connection_new(const struct caller_connection_options *options);
 void caller_connection_begin(struct caller_connection *connection, void *user,
 			     void (*gone)(void *user));
+bool caller_connection_is_closed(const struct caller_connection *connection);
 void caller_connection_end(struct caller_connection *connection);
 void caller_connection_abort(struct caller_connection *connection);
 void caller_connection_close_idle(struct caller_connection *connection);
--- a/daemon/src/caller_exchange.c
+++ b/daemon/src/caller_exchange.c
@@ -1,6 +1,5 @@
 #include "caller_exchange.h"
 
-#include "caller_watch.h"
 #include "header_filter.h"
 
 #include <event2/buffer.h>
@@ -17,7 +16,6 @@
 
 struct caller_exchange {
 	struct caller_exchange_options options;
-	struct caller_watch *watch;
 	struct timer *timer;
 	uint64_t written_bytes;
 	bool has_begun;
@@ -47,7 +45,6 @@
 	evbuffer_remove_cb(output_of(exchange), on_output, exchange);
 	buffer_budget_return(exchange->options.budget,
 			     evbuffer_get_length(output_of(exchange)));
-	caller_watch_free(exchange->watch);
 	timer_free(exchange->timer);
 	exchange->options.ended(exchange->options.context,
 				exchange->options.request_id, is_written);
@@ -81,13 +78,6 @@
 				  exchange->options.request_id);
 }
 
-static void on_caller_left(void *context)
-{
-	struct caller_exchange *exchange = context;
-
-	caller_exchange_cut(exchange);
-}
-
 /* A slow reader may not hold a target's slot for ever. */
 static void on_timer(void *context)
 {
@@ -105,8 +95,6 @@
 caller_exchange_new(const struct caller_exchange_options *options)
 {
 	struct caller_exchange *exchange = g_new0(struct caller_exchange, 1);
-	struct bufferevent *stream =
-		caller_connection_stream(options->connection);
 
 	exchange->options = *options;
 	caller_connection_begin(options->connection, exchange, on_gone);
@@ -114,9 +102,6 @@
 					  exchange);
 	evbuffer_add_cb(output_of(exchange), on_output, exchange);
 	exchange->timer = timer_new(options->task, exchange, on_timer);
-	exchange->watch = caller_watch_new(task_base(options->task),
-					   bufferevent_getfd(stream), exchange,
-					   on_caller_left);
 	return exchange;
 }
 
--- a/daemon/src/caller_watch.c
+++ b/daemon/src/caller_watch.c
@@ -3,7 +3,6 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <glib.h>
-#include <stdbool.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -15,10 +14,11 @@
 	struct event *event;
 	evutil_socket_t fd;
 	void *context;
-	void (*gone)(void *context);
+	void (*closed)(void *context);
+	bool is_closed;
 };
 
-static bool is_closed(evutil_socket_t fd)
+static bool is_at_end(evutil_socket_t fd)
 {
 	char byte;
 	ssize_t length = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
@@ -32,22 +32,24 @@
 {
 	struct caller_watch *watch = context;
 
-	if ((what & EV_CLOSED) || is_closed(fd))
-		watch->gone(watch->context);
+	if (watch->is_closed || (!(what & EV_CLOSED) && !is_at_end(fd)))
+		return;
+	watch->is_closed = true;
+	watch->closed(watch->context);
 }
 
 /*
- * Watches a connection. gone may free the watch. Returns NULL when there is no
- * descriptor left; the request then runs without being watched.
+ * Watches a connection; closed may free the watch. Returns NULL when there is
+ * no descriptor left; the connection then goes without being watched.
  */
 struct caller_watch *caller_watch_new(struct event_base *base,
 				      evutil_socket_t fd, void *context,
-				      void (*gone)(void *context))
+				      void (*closed)(void *context))
 {
 	struct caller_watch *watch = g_new0(struct caller_watch, 1);
 
 	watch->context = context;
-	watch->gone = gone;
+	watch->closed = closed;
 	watch->fd = fcntl(fd, F_DUPFD_CLOEXEC, 0);
 	if (watch->fd >= 0)
 		watch->event =
@@ -60,6 +62,12 @@
 	return NULL;
 }
 
+/* Tells whether the caller has closed; NULL is allowed. */
+bool caller_watch_is_closed(const struct caller_watch *watch)
+{
+	return watch && watch->is_closed;
+}
+
 /* Stops watching; NULL is allowed. */
 void caller_watch_free(struct caller_watch *watch)
 {
--- a/daemon/src/caller_watch.h
+++ b/daemon/src/caller_watch.h
@@ -2,16 +2,18 @@
 #define CALLER_WATCH_H
 
 #include <event2/event.h>
+#include <stdbool.h>
 
 /*
- * Notices that a caller closed its connection while its request is worked on;
- * evhttp does not read from the connection in that time.
+ * Notices that a caller closed its connection, also while its request is
+ * worked on, when evhttp does not read from the connection. closed runs once.
  */
 struct caller_watch;
 
 struct caller_watch *caller_watch_new(struct event_base *base,
 				      evutil_socket_t fd, void *context,
-				      void (*gone)(void *context));
+				      void (*closed)(void *context));
+bool caller_watch_is_closed(const struct caller_watch *watch);
 void caller_watch_free(struct caller_watch *watch);
 
 #endif
--- a/daemon/src/request_arrival.c
+++ b/daemon/src/request_arrival.c
@@ -78,6 +78,12 @@
 	int status = request_reader_read(&event, request, front->rules, now_ms);
 
 	counter_set_add(front->counters, REQUESTS_RECEIVED, 1);
+	/* Nobody waits for the answer, so the request need not run. */
+	if (caller_connection_is_closed(connection)) {
+		entry->is_decided = true;
+		counter_set_add(front->counters, REQUESTS_CALLER_GONE, 1);
+		return;
+	}
 	if (status != 0) {
 		reject(front, entry, status);
 		return;
--- a/daemon/src/request_front.c
+++ b/daemon/src/request_front.c
@@ -1,9 +1,15 @@
 #include "request_front_state.h"
 
+#include <inttypes.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 /* Connections to targets that are kept for later requests. */
 #define POOL_CAPACITY 512
+/* Descriptors that the rest of the node needs. */
+#define DESCRIPTOR_RESERVE 64
+/* A caller's connection, its watch, and a connection to a target. */
+#define DESCRIPTORS_PER_CONNECTION 3
 /* How often a draining front end closes connections that have gone idle. */
 #define DRAIN_STEP_MS 250
 
@@ -35,8 +41,7 @@
 static void on_connections_changed(void *context)
 {
 	struct request_front *front = context;
-	bool is_open = front->connection_count <
-		       front->options.settings->requests.connection_limit;
+	bool is_open = front->connection_count < front->connection_limit;
 
 	if (front->is_stopping || front->is_draining)
 		return;
@@ -150,6 +155,29 @@
 	front->options.drained(front->options.context);
 }
 
+/*
+ * Beyond the descriptors of the process, accepting would fail again and again,
+ * so callers have to wait in the kernel's queue before that.
+ */
+static uint32_t connection_limit(const struct request_front *front)
+{
+	uint32_t wanted = front->options.settings->requests.connection_limit;
+	struct rlimit descriptors = {.rlim_cur = 0};
+	uint64_t possible = 1;
+
+	if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0)
+		return wanted;
+	if (descriptors.rlim_cur > POOL_CAPACITY + DESCRIPTOR_RESERVE)
+		possible = (descriptors.rlim_cur - POOL_CAPACITY -
+			    DESCRIPTOR_RESERVE) /
+			   DESCRIPTORS_PER_CONNECTION;
+	if (possible >= wanted)
+		return wanted;
+	log_write(front->log, LOG_LEVEL_WARNING, "connection_limit_lowered",
+		  "wanted=%u possible=%" PRIu64, wanted, possible);
+	return (uint32_t)MAX(possible, 1);
+}
+
 static void prepare(struct request_front *front)
 {
 	struct task *task = front->options.task;
@@ -158,6 +186,7 @@
 	front->pool = new_pool(front);
 	front->counters = request_counters_new();
 	front->log = new_log(front->options.settings);
+	front->connection_limit = connection_limit(front);
 	front->budget.limit_bytes =
 		front->options.settings->requests.buffered_bytes;
 	front->entries = g_hash_table_new_full(g_int64_hash, g_int64_equal,
--- a/daemon/src/request_front_state.h
+++ b/daemon/src/request_front_state.h
@@ -20,6 +20,7 @@
 	struct log *log;
 	struct buffer_budget budget;
 	uint32_t connection_count;
+	uint32_t connection_limit;
 	uint64_t next_request_id;
 	/* struct request_entry by request id. */
 	GHashTable *entries;
