--- a/ctl/src/bench_command.c
+++ b/ctl/src/bench_command.c
@@ -7,6 +7,8 @@
 static const struct bench *const benches[] = {
 	&bench_config,
 	&bench_decide,
+	&bench_flows,
+	&bench_flow_pairs,
 	&bench_path,
 	&bench_flood,
 };
--- a/fakes/src/fake_kv.c
+++ b/fakes/src/fake_kv.c
@@ -6,6 +6,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <inttypes.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
@@ -202,6 +203,18 @@
 	send_events(kv, watch);
 }
 
+static bool is_answer_lost(struct fake_kv *kv)
+{
+	if (kv->fault.lost_answer_skip > 0) {
+		kv->fault.lost_answer_skip--;
+		return false;
+	}
+	if (kv->fault.lost_answer_count == 0)
+		return false;
+	kv->fault.lost_answer_count--;
+	return true;
+}
+
 static void run_route(struct fake_kv *kv, const struct fake_kv_route *route,
 		      struct evhttp_request *request, const json_t *body)
 {
@@ -215,8 +228,7 @@
 		kv->read_count++;
 	if (kv->fault.is_garbled && strlen(text) > 1)
 		text[strlen(text) / 2] = '\0';
-	if (route->is_write && kv->fault.lost_answer_count > 0) {
-		kv->fault.lost_answer_count--;
+	if (route->is_write && is_answer_lost(kv)) {
 		http_cut(request);
 		free(text);
 	} else if (kv->fault.delay_ms > 0) {
@@ -228,6 +240,17 @@
 	send_all_events(kv);
 }
 
+/* For scripts that measure: how many calls took effect. */
+static void answer_counts(struct fake_kv *kv, struct evhttp_request *request)
+{
+	char *text = g_strdup_printf(
+		"reads %" PRIu64 "\nwrites %" PRIu64 "\nwatches %" PRIu64 "\n",
+		kv->read_count, kv->write_count, kv->watch_count);
+
+	answer(request, text);
+	g_free(text);
+}
+
 static const struct fake_kv_route *find_route(const char *path)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
@@ -254,7 +277,9 @@
 	json_t *body = read_body(request);
 
 	fake_kv_store_expire(kv->store, task_now_ms());
-	if (kv->fault.is_down)
+	if (strcmp(path, "/counts") == 0)
+		answer_counts(kv, request);
+	else if (kv->fault.is_down)
 		http_cut(request);
 	else if (!is_authorized(kv, request))
 		evhttp_send_error(request, STATUS_UNAUTHORIZED, NULL);
