--- a/daemon/src/target_attempt.c
+++ b/daemon/src/target_attempt.c
@@ -255,9 +255,9 @@
 		evhttp_request_free(request);
 		return false;
 	}
-	return evhttp_make_request(target_connection_http(attempt->connection),
-				   request, attempt->method,
-				   evhttp_request_get_uri(from_caller)) == 0;
+	return target_connection_send(attempt->connection, request,
+				      attempt->method,
+				      evhttp_request_get_uri(from_caller));
 }
 
 /* Starts an attempt; no event runs before this returns. */
--- a/daemon/src/target_connection.c
+++ b/daemon/src/target_connection.c
@@ -5,6 +5,7 @@
 #include <event2/bufferevent.h>
 #include <glib.h>
 #include <sys/socket.h>
+#include <task/tcp_option.h>
 
 /* A chunk of an answer must fit in here, since evhttp reads chunks whole. */
 #define INPUT_BYTES_MAX (1024 * 1024)
@@ -67,11 +68,15 @@
 	return connection->target_id;
 }
 
-/* Returns the library's connection, to make a request on it. */
-struct evhttp_connection *
-target_connection_http(struct target_connection *connection)
+/* Sends a request, which the library owns from here on, also on failure. */
+bool target_connection_send(struct target_connection *connection,
+			    struct evhttp_request *request,
+			    enum evhttp_cmd_type method, const char *uri)
 {
-	return connection->http;
+	if (evhttp_make_request(connection->http, request, method, uri) != 0)
+		return false;
+	tcp_option_no_delay(bufferevent_getfd(connection->stream));
+	return true;
 }
 
 /* Counts sent bytes from zero again. */
--- a/daemon/src/target_connection.h
+++ b/daemon/src/target_connection.h
@@ -21,8 +21,9 @@
 void target_connection_free(struct target_connection *connection);
 uint64_t
 target_connection_target_id(const struct target_connection *connection);
-struct evhttp_connection *
-target_connection_http(struct target_connection *connection);
+bool target_connection_send(struct target_connection *connection,
+			    struct evhttp_request *request,
+			    enum evhttp_cmd_type method, const char *uri);
 void target_connection_restart(struct target_connection *connection);
 uint64_t
 target_connection_sent_bytes(const struct target_connection *connection);
