Drive the packet front end by the flow director

Cause: the packet task ranked targets for each packet and knew no other node.

Change: the packet task owns a flow director: packets from the fabric and, by a forward header from a live node's own address, from other nodes; flow messages go through the control task; views, rules and target states come as messages; drain hands over and answers when that is done; decisions are logged and counted by reason. A node that woke from a pause drops packets until membership has said what became of it, for ten seconds at most. A node without peers serves at once and has nothing to hand over.

Ruled out: a digest in the forward header, as the packet behind it has no more authority than one from the fabric.

--- a/core/src/flow_director.c
+++ b/core/src/flow_director.c
@@ -1,6 +1,8 @@
 #include "flow_director_state.h"
 
 #define PAUSE_LIMIT_MS 3000
+/* Others say what became of this node within this time, if anything did. */
+#define STALE_LIMIT_MS (10 * 1000)
 #define LEAVE_GRACE_MS 5000
 #define CHECK_INTERVAL_MS 1000
 #define PENDING_LIMIT_MS (60 * 1000)
@@ -217,8 +219,13 @@
 			  now_ms - director->last_event_ms > PAUSE_LIMIT_MS;
 
 	director->last_event_ms = now_ms;
-	if (has_paused && director->view && node_view_count(director->view) > 1)
+	if (has_paused && director->view &&
+	    node_view_count(director->view) > 1) {
 		director->is_stale = true;
+		director->stale_since_ms = now_ms;
+	}
+	if (now_ms - director->stale_since_ms > STALE_LIMIT_MS)
+		director->is_stale = false;
 }
 
 /*
@@ -324,7 +331,7 @@
 	check_pending(director, now_ms);
 	expire_pools(director, now_ms);
 	refresh_mirrors(director, now_ms);
-	if (director->is_leaving)
+	if (director->is_leaving && !director->may_stop)
 		director->may_stop =
 			now_ms - director->left_ms >= LEAVE_GRACE_MS &&
 			is_all_taken(director);
--- a/core/src/flow_director_state.h
+++ b/core/src/flow_director_state.h
@@ -57,6 +57,7 @@
 	/* The part of all slots whose home is here, for bounds per node. */
 	uint32_t home_slot_count;
 	int64_t last_event_ms;
+	int64_t stale_since_ms;
 	int64_t left_ms;
 	int64_t refreshed_ms;
 	int64_t checked_ms;
--- a/core/src/flow_homes.c
+++ b/core/src/flow_homes.c
@@ -198,15 +198,29 @@
 	return own;
 }
 
+/*
+ * A node that woke from a pause counts itself as joining until others have told
+ * what became of it; until then it stays stale.
+ */
 static void follow_self_state(struct flow_director *director)
 {
-	director->is_stale = false;
-	director->is_out =
-		state_in(director->view, director->self_id) == NODE_DEAD;
+	enum node_state state = state_in(director->view, director->self_id);
+
+	director->is_stale = director->is_stale && state == NODE_JOINING;
+	director->is_out = state == NODE_DEAD;
 	if (director->is_out)
 		flow_director_forget_all(director);
 }
 
+static bool is_alone(const struct flow_director *director)
+{
+	for (uint32_t i = 0; i < node_view_count(director->view); i++) {
+		if (home_node_is_live(node_view_at(director->view, i)))
+			return false;
+	}
+	return true;
+}
+
 /*
  * Follows a new view of the nodes; the director keeps a copy. Slots that
  * change homes are handed over or learned, and the records that must be known
@@ -252,9 +266,12 @@
 		return;
 	director->is_leaving = true;
 	director->left_ms = now_ms;
+	director->may_stop = director->view == NULL;
 	if (!director->view)
 		return;
 	view = node_view_copy(director->view);
 	flow_director_set_nodes(director, view, now_ms);
 	node_view_free(view);
+	/* Nobody is there to take over, nor to learn that this node leaves. */
+	director->may_stop = is_alone(director);
 }
--- a/ctl/src/bench_command.c
+++ b/ctl/src/bench_command.c
@@ -5,12 +5,8 @@
 #include <string.h>
 
 static const struct bench *const benches[] = {
-	&bench_config,
-	&bench_decide,
-	&bench_flows,
-	&bench_flow_pairs,
-	&bench_path,
-	&bench_flood,
+	&bench_config,	   &bench_decide, &bench_flows,
+	&bench_flow_pairs, &bench_path,	  &bench_flood,
 };
 
 #define BENCH_COUNT (sizeof(benches) / sizeof(benches[0]))
--- /dev/null
+++ b/daemon/src/packet_counters.h
@@ -0,0 +1,30 @@
+#ifndef PACKET_COUNTERS_H
+#define PACKET_COUNTERS_H
+
+#include <core/reason.h>
+#include <task/counter_set.h>
+
+enum packet_counter {
+	PACKETS_RECEIVED,
+	PACKETS_FROM_NODES,
+	PACKETS_STRAY,
+	PACKETS_FORWARDED,
+	PACKETS_TO_NODES,
+	PACKETS_NOT_SENT,
+	PACKETS_MESSAGES_MALFORMED,
+	PACKETS_MESSAGES_NOT_POSTED,
+	PACKETS_FLOWS,
+	/* One row a reason from here on. */
+	PACKETS_DROPPED,
+	PACKETS_PLACED = PACKETS_DROPPED + REASON_COUNT,
+	PACKET_COUNTER_COUNT = PACKETS_PLACED + REASON_COUNT,
+};
+
+/* The counters of the packet task, with a row for each reason. */
+struct packet_counters;
+
+struct packet_counters *packet_counters_new(void);
+void packet_counters_free(struct packet_counters *counters);
+struct counter_set *packet_counters_set(struct packet_counters *counters);
+
+#endif
--- a/daemon/src/packet_task.c
+++ b/daemon/src/packet_task.c
@@ -1,83 +1,76 @@
 #include <daemon/packet_task.h>
 
-#include <core/placement.h>
-#include <core/target_rank.h>
+#include "packet_counters.h"
+
+#include <core/flow_director.h>
+#include <core/zone.h>
+#include <daemon/control_message.h>
 #include <daemon/drain_message.h>
 #include <daemon/log_settings_message.h>
 #include <daemon/metrics_message.h>
+#include <daemon/nodes_message.h>
 #include <daemon/rules_message.h>
+#include <daemon/target_state_message.h>
 #include <inttypes.h>
-#include <task/counter_set.h>
+#include <string.h>
+#include <task/timer.h>
 #include <task/udp_socket.h>
 #include <unistd.h>
+#include <wire/flow_codec.h>
+#include <wire/forward_header.h>
 #include <wire/packet.h>
 
 #define MAILBOX_CAPACITY 1024
 #define RECEIVE_BUFFER_BYTES (4 * 1024 * 1024)
+#define TICK_MS 100
 
-enum packet_counter {
-	PACKETS_RECEIVED,
-	PACKETS_MALFORMED,
-	PACKETS_NO_SERVICE,
-	PACKETS_NO_TARGET,
-	PACKETS_FORWARDED,
-	PACKETS_NOT_SENT,
-	PACKET_COUNTER_COUNT,
-};
-
-static const struct counter_row counter_rows[PACKET_COUNTER_COUNT] = {
-	[PACKETS_RECEIVED] = {"shallot_packets_received_total",
-			      "Packets from the fabric.", COUNTER_TOTAL},
-	[PACKETS_MALFORMED] = {"shallot_packets_dropped_total{reason="
-			       "\"malformed\"}",
-			       "Packets dropped, by reason.", COUNTER_TOTAL},
-	[PACKETS_NO_SERVICE] = {"shallot_packets_dropped_total{reason="
-				"\"no_service\"}",
-				"Packets dropped, by reason.", COUNTER_TOTAL},
-	[PACKETS_NO_TARGET] = {"shallot_packets_dropped_total{reason="
-			       "\"no_target\"}",
-			       "Packets dropped, by reason.", COUNTER_TOTAL},
-	[PACKETS_FORWARDED] = {"shallot_packets_forwarded_total",
-			       "Packets sent to targets.", COUNTER_TOTAL},
-	[PACKETS_NOT_SENT] = {"shallot_packets_not_sent_total",
-			      "Packets the kernel did not take.",
-			      COUNTER_TOTAL},
-};
+/* Flows get three quarters of the control bytes, membership the rest. */
+#define FLOW_SHARE_NUMERATOR 3
+#define FLOW_SHARE_DENOMINATOR 4
 
 struct packet_task {
 	struct task *task;
 	const struct settings *settings;
 	struct udp_socket *socket;
-	struct rule_set *rules;
-	struct counter_set *counters;
+	struct timer *tick_timer;
+	struct flow_director *director;
+	struct node_view *view;
+	struct packet_counters *counters;
 	struct log *log;
+	/* Carries messages to other nodes; NULL for a node without peers. */
+	struct task *control;
+	uint64_t node_id;
+	/* Who waits for the end of the drain. */
+	struct task *drain_reply_to;
+	uint8_t forwarded[FORWARD_HEADER_BYTES + PACKET_BYTES_MAX];
 };
 
-static struct placement place(struct packet_task *packets,
-			      const struct packet_event *event)
+static void count(struct packet_task *packets, uint32_t row)
 {
-	struct placement placement = {.kind = PLACE_DROP};
-	struct flow_print print =
-		flow_key_print(&event->key, packets->settings->flow_seed);
-	const struct rule *rule =
-		rule_set_by_address(packets->rules, &event->key.service);
-	const struct target *target;
+	counter_set_add(packet_counters_set(packets->counters), row, 1);
+}
 
-	if (!rule) {
-		placement.reason = REASON_NO_SERVICE;
-		return placement;
-	}
-	placement.service_id = rule->service.service_id;
-	target = target_rank_first(rule->targets, rule->target_count, print);
-	if (!target) {
-		placement.reason = REASON_NO_TARGET;
-		return placement;
-	}
-	placement.kind = PLACE_TO_TARGET;
-	placement.reason = REASON_TABLE_DEFAULT;
-	placement.target_id = target->target_id;
-	placement.endpoint = target->endpoint;
-	return placement;
+/* A message that finds no room is lost; the director sends it again. */
+static void send_message(void *context, uint64_t to_node_id,
+			 const struct flow_message *message)
+{
+	struct packet_task *packets = context;
+	GByteArray *body;
+	struct message *out;
+
+	if (!packets->control)
+		return;
+	body = flow_codec_encode(message, NULL);
+	if (!body)
+		return;
+	out = control_message_new(&control_out_type, to_node_id,
+				  flow_codec_procedure(), body->data,
+				  body->len);
+	g_byte_array_free(body, TRUE);
+	if (task_post(packets->control, out) == POST_TAKEN)
+		return;
+	message_free(out);
+	count(packets, PACKETS_MESSAGES_NOT_POSTED);
 }
 
 static void log_placement(struct packet_task *packets,
@@ -85,47 +78,137 @@
 {
 	char text[ENDPOINT_TEXT_BYTES];
 
-	log_write(packets->log, LOG_LEVEL_INFO, "placement",
-		  "service=%08" PRIx32 " target=%s reason=%s",
-		  placement->service_id,
-		  placement->kind == PLACE_TO_TARGET
-			  ? endpoint_format(&placement->endpoint, text)
-			  : "none",
-		  reason_name(placement->reason));
+	if (placement->kind == PLACE_TO_NODE)
+		log_write(packets->log, LOG_LEVEL_INFO, "placement",
+			  "service=%08" PRIx32 " node=%016" PRIx64 " reason=%s",
+			  placement->service_id, placement->node_id,
+			  reason_name(placement->reason));
+	else
+		log_write(packets->log, LOG_LEVEL_INFO, "placement",
+			  "service=%08" PRIx32 " target=%s reason=%s",
+			  placement->service_id,
+			  placement->kind == PLACE_TO_TARGET
+				  ? endpoint_format(&placement->endpoint, text)
+				  : "none",
+			  reason_name(placement->reason));
+}
+
+/* A known flow's packets follow a decision that was logged with the first. */
+static bool is_decision(const struct packet_event *event,
+			const struct placement *placement)
+{
+	return event->kind == PACKET_FIRST || placement->kind == PLACE_DROP ||
+	       (placement->reason != REASON_RECORD &&
+		placement->reason != REASON_TO_HOME);
 }
 
-static void count_drop(struct packet_task *packets, enum reason reason)
+static bool send_to_node(struct packet_task *packets,
+			 const struct packet_event *event, uint64_t node_id,
+			 const uint8_t *bytes, uint32_t length_bytes)
 {
-	uint32_t row = reason == REASON_NO_SERVICE ? PACKETS_NO_SERVICE
-						   : PACKETS_NO_TARGET;
+	const struct node *node = node_view_find(packets->view, node_id);
+	struct forward_header header = {
+		.hop_count = event->hop_count + 1,
+		.from_node_id = packets->node_id,
+	};
 
-	counter_set_add(packets->counters, row, 1);
+	if (!node || length_bytes > PACKET_BYTES_MAX)
+		return false;
+	forward_header_write(packets->forwarded, &header);
+	memcpy(packets->forwarded + FORWARD_HEADER_BYTES, bytes, length_bytes);
+	return udp_socket_send(packets->socket, &node->packets,
+			       packets->forwarded,
+			       FORWARD_HEADER_BYTES + length_bytes);
+}
+
+static void carry_out(struct packet_task *packets,
+		      const struct packet_event *event,
+		      const struct placement *placement, const uint8_t *bytes,
+		      uint32_t length_bytes)
+{
+	bool is_sent;
+
+	if (placement->kind == PLACE_DROP) {
+		count(packets, PACKETS_DROPPED + placement->reason);
+		return;
+	}
+	count(packets, PACKETS_PLACED + placement->reason);
+	if (placement->kind == PLACE_TO_NODE) {
+		is_sent = send_to_node(packets, event, placement->node_id,
+				       bytes, length_bytes);
+		count(packets, is_sent ? PACKETS_TO_NODES : PACKETS_NOT_SENT);
+		return;
+	}
+	is_sent = udp_socket_send(packets->socket, &placement->endpoint, bytes,
+				  length_bytes);
+	count(packets, is_sent ? PACKETS_FORWARDED : PACKETS_NOT_SENT);
+}
+
+/* Believes a header that comes from the packet address of a node known here. */
+static bool read_header(struct packet_task *packets,
+			struct forward_header *header,
+			const struct endpoint *from, const uint8_t *bytes,
+			uint32_t length_bytes)
+{
+	const struct node *node;
+
+	if (!packets->view || !forward_header_read(header, bytes, length_bytes))
+		return false;
+	node = node_view_find(packets->view, header->from_node_id);
+	return node && endpoint_equal(&node->packets, from);
 }
 
 static void on_packet(void *context, const struct endpoint *from,
 		      const uint8_t *bytes, uint32_t length_bytes)
 {
 	struct packet_task *packets = context;
+	struct forward_header header = {.hop_count = 0};
 	struct packet_event event;
 	struct placement placement;
-	bool is_sent;
 
-	counter_set_add(packets->counters, PACKETS_RECEIVED, 1);
+	count(packets, PACKETS_RECEIVED);
+	if (forward_header_is_there(bytes, length_bytes)) {
+		if (!read_header(packets, &header, from, bytes, length_bytes)) {
+			count(packets, PACKETS_STRAY);
+			return;
+		}
+		count(packets, PACKETS_FROM_NODES);
+	}
+	bytes += header.length_bytes;
+	length_bytes -= header.length_bytes;
 	if (!packet_parse(&event, bytes, length_bytes)) {
-		counter_set_add(packets->counters, PACKETS_MALFORMED, 1);
+		count(packets, PACKETS_DROPPED + REASON_MALFORMED);
 		return;
 	}
-	placement = place(packets, &event);
-	if (event.kind == PACKET_FIRST || placement.kind == PLACE_DROP)
+	event.hop_count = header.hop_count;
+	event.from_node_id = header.from_node_id;
+	placement =
+		flow_director_packet(packets->director, &event, task_now_ms());
+	if (is_decision(&event, &placement))
 		log_placement(packets, &placement);
-	if (placement.kind != PLACE_TO_TARGET) {
-		count_drop(packets, placement.reason);
-		return;
-	}
-	is_sent = udp_socket_send(packets->socket, &placement.endpoint, bytes,
-				  length_bytes);
-	counter_set_add(packets->counters,
-			is_sent ? PACKETS_FORWARDED : PACKETS_NOT_SENT, 1);
+	carry_out(packets, &event, &placement, bytes, length_bytes);
+}
+
+static void answer_drain(struct packet_task *packets)
+{
+	struct message *drained = drained_message_new(packets->task);
+
+	if (task_post(packets->drain_reply_to, drained) != POST_TAKEN)
+		message_free(drained);
+	packets->drain_reply_to = NULL;
+}
+
+static void on_tick(void *context)
+{
+	struct packet_task *packets = context;
+
+	flow_director_tick(packets->director, task_now_ms());
+	counter_set_assign(packet_counters_set(packets->counters),
+			   PACKETS_FLOWS,
+			   flow_director_flow_count(packets->director));
+	if (packets->drain_reply_to &&
+	    flow_director_may_stop(packets->director))
+		answer_drain(packets);
 }
 
 static bool start(void *context, struct task *task, GError **error)
@@ -139,33 +222,90 @@
 	};
 
 	packets->socket = udp_socket_new(task, &options, error);
-	return packets->socket != NULL;
+	if (!packets->socket)
+		return false;
+	packets->tick_timer = timer_new(task, packets, on_tick);
+	timer_every(packets->tick_timer, TICK_MS);
+	return true;
 }
 
-/* This front end keeps no records, so there is nothing to hand over. */
-static void answer_drain(struct packet_task *packets,
-			 const struct drain_message *drain)
+static void take_rules(struct packet_task *packets, struct message *message)
 {
-	struct message *drained = drained_message_new(packets->task);
+	struct rule_set *rules = rules_message_take(message);
 
-	if (task_post(drain->reply_to, drained) != POST_TAKEN)
-		message_free(drained);
+	flow_director_set_rules(packets->director, rules, task_now_ms());
+	rule_set_free(rules);
 }
 
-static void handle(void *context, struct message *message)
+static void take_nodes(struct packet_task *packets, struct message *message)
 {
-	struct packet_task *packets = context;
+	node_view_free(packets->view);
+	packets->view = nodes_message_take(message);
+	flow_director_set_nodes(packets->director, packets->view,
+				task_now_ms());
+}
+
+static void take_target_state(struct packet_task *packets,
+			      struct message *message)
+{
+	const struct target_state_message *news =
+		(const struct target_state_message *)message;
 
-	if (message->type == &rules_message_type) {
-		rule_set_free(packets->rules);
-		packets->rules = rules_message_take(message);
-	} else if (message->type == &metrics_request_type) {
-		metrics_request_answer(message, packets->counters);
-	} else if (message->type == &log_settings_message_type) {
-		log_settings_message_apply(
-			(struct log_settings_message *)message, packets->log);
-	} else if (message->type == &drain_message_type) {
-		answer_drain(packets, (struct drain_message *)message);
+	flow_director_set_target_state(packets->director, news->target_id,
+				       news->state, task_now_ms());
+}
+
+static void take_control(struct packet_task *packets, struct message *message)
+{
+	const struct control_message *in =
+		(const struct control_message *)message;
+	struct flow_message flow_message;
+
+	if (in->procedure == flow_codec_procedure() &&
+	    flow_codec_decode(&flow_message, in->bytes, in->length_bytes, NULL))
+		flow_director_message(packets->director, in->node_id,
+				      &flow_message, task_now_ms());
+	else
+		count(packets, PACKETS_MESSAGES_MALFORMED);
+}
+
+static void take_metrics(struct packet_task *packets, struct message *message)
+{
+	metrics_request_answer(message, packet_counters_set(packets->counters));
+}
+
+static void take_log_settings(struct packet_task *packets,
+			      struct message *message)
+{
+	log_settings_message_apply((struct log_settings_message *)message,
+				   packets->log);
+}
+
+static void take_drain(struct packet_task *packets, struct message *message)
+{
+	packets->drain_reply_to = ((struct drain_message *)message)->reply_to;
+	flow_director_leave(packets->director, task_now_ms());
+}
+
+/* What each message does. */
+static const struct {
+	const struct message_type *type;
+	void (*take)(struct packet_task *packets, struct message *message);
+} takers[] = {
+	{&rules_message_type, take_rules},
+	{&nodes_message_type, take_nodes},
+	{&target_state_message_type, take_target_state},
+	{&control_in_type, take_control},
+	{&metrics_request_type, take_metrics},
+	{&log_settings_message_type, take_log_settings},
+	{&drain_message_type, take_drain},
+};
+
+static void handle(void *context, struct message *message)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(takers); i++) {
+		if (takers[i].type == message->type)
+			takers[i].take(context, message);
 	}
 	message_free(message);
 }
@@ -174,10 +314,27 @@
 {
 	struct packet_task *packets = context;
 
+	timer_free(packets->tick_timer);
 	udp_socket_free(packets->socket);
+	packets->tick_timer = NULL;
 	packets->socket = NULL;
 }
 
+static struct flow_director *make_director(struct packet_task *packets)
+{
+	const struct settings *settings = packets->settings;
+	struct flow_director_options options = {
+		.flow_seed = settings->flow_seed,
+		.flow_capacity = settings->flow_capacity,
+		.control_bytes_per_s = settings->members_bytes_per_s /
+				       FLOW_SHARE_DENOMINATOR *
+				       FLOW_SHARE_NUMERATOR,
+		.effects = {.context = packets, .send = send_message},
+	};
+
+	return flow_director_new(&options);
+}
+
 /*
  * Makes the packet front end with no rules yet, so that it drops everything.
  * The settings must outlive it; the caller frees it with packet_task_free.
@@ -203,8 +360,8 @@
 	};
 
 	packets->settings = settings;
-	packets->rules = rule_set_new(0);
-	packets->counters = counter_set_new(counter_rows, PACKET_COUNTER_COUNT);
+	packets->director = make_director(packets);
+	packets->counters = packet_counters_new();
 	packets->log = log_new(&log_options);
 	packets->task = task_new(&options, error);
 	if (packets->task)
@@ -219,12 +376,35 @@
 	if (!packets)
 		return;
 	task_free(packets->task);
-	rule_set_free(packets->rules);
-	counter_set_free(packets->counters);
+	flow_director_free(packets->director);
+	node_view_free(packets->view);
+	packet_counters_free(packets->counters);
 	log_free(packets->log);
 	g_free(packets);
 }
 
+/*
+ * Says who this node is and which task carries its messages, before the
+ * start. A node without peers serves at once, as the only one.
+ */
+void packet_task_join(struct packet_task *packets, struct task *control,
+		      uint64_t node_id)
+{
+	struct node self = {
+		.node_id = node_id,
+		.zone_id = zone_id_from_name(packets->settings->zone),
+		.state = NODE_SERVING,
+	};
+
+	packets->control = control;
+	packets->node_id = node_id;
+	if (packets->settings->members_key_file)
+		return;
+	packets->view = node_view_new(node_id, 0, &self, 1);
+	flow_director_set_nodes(packets->director, packets->view,
+				task_now_ms());
+}
+
 /* Returns the task, to start it and to post messages to it. */
 struct task *packet_task_task(struct packet_task *packets)
 {
