--- a/core/src/home_map.c
+++ b/core/src/home_map.c
@@ -69,6 +69,9 @@
 		if (home_node_is_live(node) || node->state == NODE_JOINING)
 			take_best(&next, node, scores[i]);
 	}
+	/* Where no node serves yet, those that join look after the flows. */
+	if (!home.node)
+		home = next;
 	if (home.node)
 		mirror = best_mirror(view, scores, home.node);
 	homes->home = id_of(&home);
