Refuse request lines and answers that can be read two ways

A path with a space or a tab reached the target as it was, where the request line could end elsewhere than the node thought. The library passes such paths, and control characters in a target's reason phrase, on.

Paths with white space or control characters get 400; answers with a status beyond 599 or control characters in the reason count as malformed.

--- a/daemon/src/header_filter.c
+++ b/daemon/src/header_filter.c
@@ -100,7 +100,8 @@
 	return is_decimal(length) ? FRAMING_LENGTH : FRAMING_BAD;
 }
 
-static bool is_text(const char *value)
+/* Tells whether a value holds no control character but the tab. */
+bool header_filter_is_text(const char *value)
 {
 	for (const char *at = value; *at; at++) {
 		if (g_ascii_iscntrl(*at) && *at != '\t')
@@ -118,7 +119,7 @@
 		if (*header->key == '\0' ||
 		    header->key[strspn(header->key, TOKEN_CHARACTERS)] != '\0')
 			return false;
-		if (!is_text(header->value))
+		if (!header_filter_is_text(header->value))
 			return false;
 	}
 	return true;
--- a/daemon/src/header_filter.h
+++ b/daemon/src/header_filter.h
@@ -13,6 +13,7 @@
 };
 
 enum body_framing header_filter_framing(struct evkeyvalq *headers);
+bool header_filter_is_text(const char *value);
 bool header_filter_is_valid(struct evkeyvalq *headers);
 bool header_filter_copy(struct evkeyvalq *to, struct evkeyvalq *from);
 
--- a/daemon/src/request_reader.c
+++ b/daemon/src/request_reader.c
@@ -31,6 +31,18 @@
 	return framing == FRAMING_NONE || (length && strcmp(length, "0") == 0);
 }
 
+/* A space or control character would end the request line elsewhere. */
+static bool has_sound_uri(struct evhttp_request *request)
+{
+	const char *uri = evhttp_request_get_uri(request);
+
+	for (const char *at = uri; *at; at++) {
+		if (g_ascii_isspace(*at) || g_ascii_iscntrl(*at))
+			return false;
+	}
+	return *uri != '\0';
+}
+
 /*
  * Only safe methods repeat by themselves. PUT and DELETE are idempotent, but
  * a second run may land behind another caller's change and undo it.
@@ -103,7 +115,8 @@
 	const char *host = evhttp_request_get_host(request);
 	const struct rule *rule;
 
-	if (!header_filter_is_valid(headers) || !has_sound_body(request))
+	if (!header_filter_is_valid(headers) || !has_sound_body(request) ||
+	    !has_sound_uri(request))
 		return STATUS_BAD_REQUEST;
 	if (event->service_id == SERVICE_NONE && host)
 		event->service_id = service_id_from_name(host);
--- a/daemon/src/target_attempt.c
+++ b/daemon/src/target_attempt.c
@@ -8,6 +8,7 @@
 #include <task/timer.h>
 
 #define STATUS_FIRST_FINAL 200
+#define STATUS_LAST 599
 #define STATUS_NO_CONTENT 204
 #define STATUS_NOT_MODIFIED 304
 #define STATUS_UNAVAILABLE 503
@@ -108,6 +109,13 @@
 	       status == STATUS_NO_CONTENT || status == STATUS_NOT_MODIFIED;
 }
 
+static bool has_sound_reason(struct evhttp_request *answer)
+{
+	const char *reason = evhttp_request_get_response_code_line(answer);
+
+	return !reason || header_filter_is_text(reason);
+}
+
 /*
  * A body that ends where the connection ends cannot be told from one that was
  * cut, so an answer has to say its length or come in chunks.
@@ -119,8 +127,9 @@
 	enum body_framing framing = header_filter_framing(headers);
 	int status = evhttp_request_get_response_code(answer);
 
-	if (status < STATUS_FIRST_FINAL || framing == FRAMING_BAD ||
-	    !header_filter_is_valid(headers))
+	if (status < STATUS_FIRST_FINAL || status > STATUS_LAST ||
+	    framing == FRAMING_BAD || !header_filter_is_valid(headers) ||
+	    !has_sound_reason(answer))
 		return false;
 	return framing != FRAMING_NONE || has_no_body(attempt, status);
 }
