--- a/core/src/membership_suspect.c
+++ b/core/src/membership_suspect.c
@@ -245,7 +245,7 @@
 	if (is_cut_off == member->is_cut_off)
 		return;
 	member->is_cut_off = is_cut_off;
-	membership->is_dirty = true;
+	membership_mark_changed(membership);
 }
 
 static void age_member(struct membership *membership, struct member *member,
