Let a joining node serve once it knows its flows

Cause: a node served two seconds after it joined, whether or not the homes before it had handed their exceptions over, and even without rules.

Change: the packet task tells the control task when its director is ready, and membership holds the node in joining until then. A node without any source of rules waits for nothing.

--- a/core/include/core/membership.h
+++ b/core/include/core/membership.h
@@ -53,6 +53,7 @@
 			const struct endpoint *from,
 			const struct member_message *message, int64_t now_ms);
 void membership_tick(struct membership *membership, int64_t now_ms);
+void membership_hold(struct membership *membership, bool is_held);
 void membership_leave(struct membership *membership, int64_t now_ms);
 void membership_stop(struct membership *membership, int64_t now_ms);
 const struct node_view *membership_view(const struct membership *membership);
--- a/core/src/membership.c
+++ b/core/src/membership.c
@@ -209,6 +209,15 @@
 	membership_gossip(membership, now_ms);
 }
 
+/*
+ * Keeps this node from serving while it joins: it has no rules yet, or has
+ * still to learn from the nodes whose work it takes over.
+ */
+void membership_hold(struct membership *membership, bool is_held)
+{
+	membership->is_held = is_held;
+}
+
 /* Announces that this node takes nothing new; it goes on answering. */
 void membership_leave(struct membership *membership, int64_t now_ms)
 {
--- a/core/src/membership_self.c
+++ b/core/src/membership_self.c
@@ -175,6 +175,15 @@
 	       (int64_t)interval_count * membership->options.probe_interval_ms;
 }
 
+static bool is_settling(const struct membership *membership, int64_t now_ms)
+{
+	int64_t waited_ms = now_ms - membership->phase_since_ms;
+
+	if (waited_ms < membership->options.joining_ms)
+		return true;
+	return membership->is_held;
+}
+
 /* Moves this node from joining to serving, or through a verification. */
 void membership_self_tick(struct membership *membership, int64_t now_ms)
 {
@@ -186,8 +195,7 @@
 			request(membership);
 		return;
 	case SELF_SETTLING:
-		if (now_ms - membership->phase_since_ms <
-		    membership->options.joining_ms)
+		if (is_settling(membership, now_ms))
 			return;
 		announce(membership, NODE_SERVING);
 		membership_report(membership, MEMBER_EVENT_SERVING,
--- a/core/src/membership_state.h
+++ b/core/src/membership_state.h
@@ -32,6 +32,8 @@
 	uint32_t rotation_next;
 	enum self_phase phase;
 	int64_t phase_since_ms;
+	/* This node still learns what it must know before it serves. */
+	bool is_held;
 	int64_t next_request_ms;
 	uint32_t accused_incarnation;
 	int64_t last_tick_ms;
--- a/daemon/include/daemon/ready_message.h
+++ b/daemon/include/daemon/ready_message.h
@@ -4,7 +4,10 @@
 #include <stdbool.h>
 #include <task/message.h>
 
-/* Tells the admin task whether this node takes new work. */
+/*
+ * Tells the admin task whether this node takes new work, and the control task
+ * whether it has learned what it must know before it serves.
+ */
 struct ready_message {
 	struct message message;
 	bool is_ready;
--- a/daemon/src/control_task.c
+++ b/daemon/src/control_task.c
@@ -13,6 +13,7 @@
 #include <daemon/drain_message.h>
 #include <daemon/log_settings_message.h>
 #include <daemon/metrics_message.h>
+#include <daemon/ready_message.h>
 #include <errno.h>
 #include <inttypes.h>
 #include <string.h>
@@ -267,6 +268,9 @@
 		metrics_request_answer(message, control->counters);
 	else if (message->type == &drain_message_type)
 		drain(control, message);
+	else if (message->type == &ready_message_type)
+		membership_hold(control->membership,
+				!((struct ready_message *)message)->is_ready);
 	else if (message->type == &log_settings_message_type)
 		log_settings_message_apply(
 			(struct log_settings_message *)message, control->log);
--- a/daemon/src/packet_task.c
+++ b/daemon/src/packet_task.c
@@ -9,6 +9,7 @@
 #include <daemon/log_settings_message.h>
 #include <daemon/metrics_message.h>
 #include <daemon/nodes_message.h>
+#include <daemon/ready_message.h>
 #include <daemon/rules_message.h>
 #include <daemon/target_state_message.h>
 #include <inttypes.h>
@@ -40,6 +41,8 @@
 	/* Carries messages to other nodes; NULL for a node without peers. */
 	struct task *control;
 	uint64_t node_id;
+	/* What the control task was told last; it takes true to begin with. */
+	bool is_ready;
 	/* Who waits for the end of the drain. */
 	struct task *drain_reply_to;
 	uint8_t forwarded[FORWARD_HEADER_BYTES + PACKET_BYTES_MAX];
@@ -198,11 +201,37 @@
 	packets->drain_reply_to = NULL;
 }
 
+/* Without a source of rules there are no flows to wait for. */
+static bool may_serve(const struct packet_task *packets)
+{
+	const struct settings *settings = packets->settings;
+
+	if (!settings->rules_file && settings->platform.store.port == 0)
+		return true;
+	return flow_director_is_ready(packets->director);
+}
+
+/* A node that joins serves once it knows the flows that it takes over. */
+static void report_ready(struct packet_task *packets)
+{
+	bool is_ready = may_serve(packets);
+	struct message *message;
+
+	if (!packets->control || is_ready == packets->is_ready)
+		return;
+	message = ready_message_new(is_ready);
+	if (task_post(packets->control, message) == POST_TAKEN)
+		packets->is_ready = is_ready;
+	else
+		message_free(message);
+}
+
 static void on_tick(void *context)
 {
 	struct packet_task *packets = context;
 
 	flow_director_tick(packets->director, task_now_ms());
+	report_ready(packets);
 	counter_set_assign(packet_counters_set(packets->counters),
 			   PACKETS_FLOWS,
 			   flow_director_flow_count(packets->director));
@@ -360,6 +389,7 @@
 	};
 
 	packets->settings = settings;
+	packets->is_ready = true;
 	packets->director = make_director(packets);
 	packets->counters = packet_counters_new();
 	packets->log = log_new(&log_options);
