--- a/core/src/flow_packet.c
+++ b/core/src/flow_packet.c
@@ -1,7 +1,5 @@
 #include "flow_director_state.h"
 
-#include <netinet/in.h>
-
 #define HOP_LIMIT 2
 
 /* One packet on its way through the decision. */
@@ -30,6 +28,16 @@
 				  .node_id = node_id};
 }
 
+/*
+ * A target that fails and was taken out of its pool is dead, and its address
+ * may soon be another's; one that only drains still answers.
+ */
+static bool is_lost(const struct known_target *known)
+{
+	return known->is_reused || known->target.state == TARGET_GONE ||
+	       (known->target.state == TARGET_FAILING && !known->is_in_force);
+}
+
 /*
  * The last check before a packet leaves for a target: the target must belong
  * to the service that the packet names, and its address to the target.
@@ -42,8 +50,7 @@
 		target_book_at(director->book, target_index);
 	uint32_t service_id = packet->rule->service.service_id;
 
-	if (known->target.service_id != service_id || known->is_reused ||
-	    known->target.state == TARGET_GONE)
+	if (known->target.service_id != service_id || is_lost(known))
 		return drop(REASON_STALE_TARGET, service_id);
 	if (known->target.state == TARGET_CUT_OFF)
 		return drop(REASON_TARGET_CUT_OFF, service_id);
@@ -60,13 +67,13 @@
 static bool is_opening(const struct packet_event *event)
 {
 	return event->kind == PACKET_FIRST &&
-	       event->key.protocol == IPPROTO_TCP;
+	       event->key.protocol == FLOW_PROTOCOL_TCP;
 }
 
 static enum flow_state next_state(const struct flow_record *record,
 				  const struct packet_event *event)
 {
-	if (event->key.protocol == IPPROTO_UDP)
+	if (event->key.protocol == FLOW_PROTOCOL_UDP)
 		return FLOW_DATAGRAM;
 	if (event->kind == PACKET_RESET || event->kind == PACKET_LAST)
 		return FLOW_CLOSING;
@@ -87,7 +94,7 @@
 		return false;
 	if (!is_opening(packet->event))
 		return true;
-	return record->state != FLOW_CLOSING && !known->is_reused &&
+	return record->state != FLOW_CLOSING && !is_lost(known) &&
 	       known->target.service_id == packet->rule->service.service_id;
 }
 
@@ -270,7 +277,7 @@
 			    const struct packet_case *packet,
 			    const struct pool_history *history)
 {
-	return packet->event->key.protocol == IPPROTO_UDP &&
+	return packet->event->key.protocol == FLOW_PROTOCOL_UDP &&
 	       packet->slot->base_until_ms <= packet->now_ms &&
 	       is_my_slot(director, packet);
 }
@@ -305,7 +312,8 @@
 	/* Another node knows this flow, but the packet has used its hops. */
 	if (is_my_slot(director, packet) &&
 	    packet->slot->pending_from != NODE_NONE &&
-	    packet->slot->pending_from != packet->event->from_node_id)
+	    packet->slot->pending_from != packet->event->from_node_id &&
+	    packet->slot->learned_from != packet->event->from_node_id)
 		return drop(REASON_HOP_LIMIT, service_id);
 	return resume_flow(director, packet, history);
 }
