Count the flips of homes once, and of every viewer

Cause: bench members counted each flip twice, through a macro that evaluates its argument twice, and showed 4 and 6 flips where 2 are allowed. The membership test left viewer 1 out of rows that cut zone 1, taking the zone's number for a node's.

Change: plain counting, from the cut on; zone steps name no node. A row with zones of a single node beside the cut zone is new.

--- a/core/test/membership_test.c
+++ b/core/test/membership_test.c
@@ -72,6 +72,7 @@
 	{"one-way-cut", 8, 4, 100000, 0, 0, 0, 0, 0, 0},
 	{"node-cut-off-and-back", 8, 4, 90000, 7, 7, 0, 1, 2, 2},
 	{"zone-cut-and-healed", 8, 4, 170000, 0, 0, 6, 0, 12, 2},
+	{"zone-cut-among-single-node-zones", 8, 5, 170000, 0, 0, 6, 0, 12, 2},
 	{"zone-cut-thrice", 16, 4, 120000, 0, 0, 12, 0, 72, 6},
 	{"zone-cut-longer-than-held", 8, 4, 960000, ANY, 12, 6, 0, ANY, ANY},
 	{"node-dies-while-zone-is-cut", 16, 4, 100000, 0, 12, 12, 0, 24, 2},
@@ -121,6 +122,8 @@
 	{"node-cut-off-and-back", 60000, ACT_REJOIN, 3, 0},
 	{"zone-cut-and-healed", 20000, ACT_CUT_ZONE, 1, 0},
 	{"zone-cut-and-healed", 140000, ACT_JOIN_ZONE, 1, 0},
+	{"zone-cut-among-single-node-zones", 20000, ACT_CUT_ZONE, 1, 0},
+	{"zone-cut-among-single-node-zones", 80000, ACT_JOIN_ZONE, 1, 0},
 	{"zone-cut-thrice", 20000, ACT_CUT_ZONE, 1, 0},
 	{"zone-cut-thrice", 40000, ACT_JOIN_ZONE, 1, 0},
 	{"zone-cut-thrice", 50000, ACT_CUT_ZONE, 1, 0},
@@ -358,7 +361,10 @@
 static bool is_acted_on(const struct run *run, uint32_t instance)
 {
 	for (uint32_t s = 0; s < G_N_ELEMENTS(steps); s++) {
-		if (steps[s].a == instance &&
+		bool is_zone = steps[s].action == ACT_CUT_ZONE ||
+			       steps[s].action == ACT_JOIN_ZONE;
+
+		if (!is_zone && steps[s].a == instance &&
 		    strcmp(steps[s].row, run->row->name) == 0)
 			return true;
 	}
--- a/ctl/src/bench_members.c
+++ b/ctl/src/bench_members.c
@@ -29,6 +29,7 @@
 /* What the nodes of one fleet reported while it was being measured. */
 struct watch {
 	bool is_measuring;
+	bool is_counting_flips;
 	uint32_t died_count;
 	uint32_t false_death_count;
 	uint64_t dead_node_id;
@@ -71,16 +72,17 @@
 {
 	struct watch *watch = context;
 
-	/* The fleet reports its first views while it is being made. */
-	for (uint32_t i = 0; watch->fleet && i < watch->node_count; i++) {
+	for (uint32_t i = 0; watch->is_counting_flips && i < watch->node_count;
+	     i++) {
 		uint64_t node_id = member_fleet_node_id(watch->fleet, i);
 		bool is_home = may_be_home(node_view_find(view, node_id));
 		struct home_seen *seen =
 			&watch->homes[instance * watch->node_count + i];
 
-		if (watch->is_measuring && is_home != seen->is_home)
-			watch->flip_max = MAX(watch->flip_max, ++seen->flips);
+		if (is_home != seen->is_home)
+			seen->flips++;
 		seen->is_home = is_home;
+		watch->flip_max = MAX(watch->flip_max, seen->flips);
 	}
 }
 
@@ -259,12 +261,21 @@
 #define CUT_MS 60000
 #define FLIPS_OUT_AND_BACK 2
 
+/* From here on a view that differs from all-are-homes counts. */
+static void start_counting_flips(struct watch *watch)
+{
+	for (uint32_t i = 0; i < watch->node_count * watch->node_count; i++)
+		watch->homes[i].is_home = true;
+	watch->is_counting_flips = true;
+}
+
 /* The views of all nodes, in the zone and out of it, while it is cut. */
 static void report_zone_cut(struct bench_report *report, uint32_t node_count)
 {
 	struct watch *watch = watch_new(node_count, 0);
 	char name[64];
 
+	start_counting_flips(watch);
 	member_fleet_cut_zone(watch->fleet, 1, true);
 	run_for(watch, CUT_MS);
 	member_fleet_cut_zone(watch->fleet, 1, false);
