Fill XDR units of flow messages, and let the sanitizer see memory

Cause: the thread sanitizer reported races in daemon/flows_test: GLib's slices hand memory from thread to thread by locks that it cannot see, and libtirpc reads the padding of opaque bytes into a buffer that all threads share.

Change: tests run with G_SLICE=always-malloc; flow messages fill whole XDR units, a slot list by its last slot twice, so that nothing is padded.

Ruled out: suppressions, as they would hide races of our own.

--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -41,7 +41,7 @@
 			COMMAND ${name}_${test_name})
 		set_tests_properties(${name}/${test_name} PROPERTIES
 			TIMEOUT 300 LABELS ${name}
-			ENVIRONMENT "CK_FORK=no;SHALLOT_SOURCE=${CMAKE_SOURCE_DIR}")
+			ENVIRONMENT "G_SLICE=always-malloc;CK_FORK=no;SHALLOT_SOURCE=${CMAKE_SOURCE_DIR}")
 	endforeach()
 endfunction()
 
--- a/wire/src/flow_codec.c
+++ b/wire/src/flow_codec.c
@@ -10,6 +10,7 @@
 #define ENTRY_BYTES 9
 #define SLOT_BYTES 2
 #define BYTE_BITS 8
+#define UNIT_BYTES 4
 
 /* The arrays that the generated types point into. */
 struct wire_arrays {
@@ -53,6 +54,25 @@
 	return value;
 }
 
+/*
+ * Opaque bytes fill whole XDR units, as libtirpc reads what it pads into one
+ * buffer that all threads share. The slot list is filled by a slot twice.
+ */
+static u_int fill_unit(uint32_t size_bytes)
+{
+	return (size_bytes + UNIT_BYTES - 1) / UNIT_BYTES * UNIT_BYTES;
+}
+
+static void write_slots(uint8_t *out, const struct flow_message *message)
+{
+	uint32_t count = message->slot_count + message->slot_count % 2;
+
+	for (uint32_t i = 0; i < count; i++)
+		write_number(out + (size_t)i * SLOT_BYTES,
+			     message->slots[MIN(i, message->slot_count - 1)],
+			     SLOT_BYTES);
+}
+
 static void write_arrays(struct wire_arrays *arrays,
 			 const struct flow_message *message)
 {
@@ -65,9 +85,7 @@
 			     sizeof(uint64_t));
 		out[ENTRY_BYTES - 1] = message->entries[i].target_index;
 	}
-	for (uint32_t i = 0; i < message->slot_count; i++)
-		write_number(arrays->slots + (size_t)i * SLOT_BYTES,
-			     message->slots[i], SLOT_BYTES);
+	write_slots(arrays->slots, message);
 }
 
 static void write_entries(flow_body_wire *body, struct wire_arrays *arrays,
@@ -78,7 +96,8 @@
 	wire->targets.targets_val = arrays->targets;
 	wire->targets.targets_len = message->target_count;
 	wire->entries.entries_val = (char *)arrays->entries;
-	wire->entries.entries_len = message->entry_count * ENTRY_BYTES;
+	wire->entries.entries_len =
+		fill_unit(message->entry_count * ENTRY_BYTES);
 }
 
 static void write_pool(flow_body_wire *body, struct wire_arrays *arrays,
@@ -111,7 +130,7 @@
 	wire->base_revision = message->base_revision;
 	wire->base_remaining_ms = message->base_remaining_ms;
 	wire->slots.slots_val = (char *)arrays->slots;
-	wire->slots.slots_len = message->slot_count * SLOT_BYTES;
+	wire->slots.slots_len = fill_unit(message->slot_count * SLOT_BYTES);
 }
 
 static void write_ack(flow_body_wire *body, struct wire_arrays *arrays,
@@ -158,7 +177,7 @@
 	const flow_entries_wire *wire = &body->flow_body_wire_u.entries;
 	const uint8_t *in = (const uint8_t *)wire->entries.entries_val;
 
-	if (wire->entries.entries_len % ENTRY_BYTES != 0)
+	if (wire->entries.entries_len % ENTRY_BYTES >= UNIT_BYTES)
 		return false;
 	message->entry_count = wire->entries.entries_len / ENTRY_BYTES;
 	for (uint32_t i = 0; i < message->entry_count; i++) {
