--- a/fakes/src/flow_fleet.c
+++ b/fakes/src/flow_fleet.c
@@ -3,19 +3,9 @@
 #include <core/flow_message.h>
 
 #define MS_PER_S 1000
-#define SERVICE_PORT 80
-#define TARGET_PORT 8080
-#define TARGET_FIRST 0x0a010000U
-#define SERVICE_FIRST 0x0a000001U
 #define FLOW_CAPACITY 120000
-#define SLOT_COUNT 3
 #define FLOW_SEED 17
 
-static const char *const service_names[FLEET_SERVICE_COUNT] = {
-	"order-desk",
-	"catalogue",
-};
-
 /* News that reaches one node after a delay. */
 struct news {
 	struct fleet_node *node;
@@ -40,15 +30,6 @@
 	return node % fleet->options.zone_count;
 }
 
-/* Returns the address that callers of a service send to. */
-struct endpoint fleet_service_address(uint32_t service)
-{
-	return (struct endpoint){
-		.addr = ip_addr_from_v4(SERVICE_FIRST + service),
-		.port = SERVICE_PORT,
-	};
-}
-
 static void deliver(void *context, uint32_t from, uint32_t to, void *message)
 {
 	struct flow_fleet *fleet = context;
@@ -182,77 +163,6 @@
 	};
 }
 
-static struct target make_target(const struct flow_fleet *fleet,
-				 uint32_t service, uint32_t number)
-{
-	struct target target = {
-		.endpoint = {.addr = ip_addr_from_v4(TARGET_FIRST + number),
-			     .port = TARGET_PORT},
-		.service_id = service_id_from_name(service_names[service]),
-		.zone_id = fleet->zone_of_target[number],
-		.slot_count = SLOT_COUNT,
-		.weight = SLOT_COUNT,
-		.incarnation = number == fleet->moved_number && service == 1,
-	};
-
-	if (service == 0 && number == fleet->pool_first)
-		target.weight = fleet->weight_of_first;
-	target.target_id = target_id_of(&target);
-	return target;
-}
-
-static void add_target(struct flow_fleet *fleet, struct rule *rule,
-		       uint32_t service, uint32_t number)
-{
-	rule->targets[rule->target_count++] =
-		make_target(fleet, service, number);
-	fleet->owners[number] = (uint8_t)(service + 1);
-}
-
-/* The pool may have lost targets since the rules were made last. */
-static void disown_targets(struct flow_fleet *fleet, uint32_t service)
-{
-	for (uint32_t i = 0; i < TARGET_NUMBERS; i++) {
-		if (fleet->owners[i] == service + 1)
-			fleet->owners[i] = 0;
-	}
-}
-
-static struct rule *make_rule(struct flow_fleet *fleet, uint32_t service)
-{
-	struct rule *rule = g_new0(struct rule, 1);
-	uint32_t first = service == 0 ? fleet->pool_first : SERVICE_1_FIRST;
-	uint32_t count = service == 0 ? fleet->pool_count : SERVICE_1_COUNT;
-
-	g_strlcpy(rule->service.name, service_names[service],
-		  SERVICE_NAME_BYTES);
-	rule->service.service_id = service_id_from_name(service_names[service]);
-	rule->generation = fleet->generations[service];
-	rule->form = fleet->form;
-	rule->address_count = 1;
-	rule->addresses = g_new0(struct endpoint, 1);
-	rule->addresses[0] = fleet_service_address(service);
-	rule->targets = g_new0(struct target, count + 1);
-	disown_targets(fleet, service);
-	for (uint32_t i = 0; i < count; i++) {
-		if (service != 0 || first + i != fleet->removed_number)
-			add_target(fleet, rule, service, first + i);
-	}
-	if (service == 1 && fleet->moved_number < TARGET_NUMBERS)
-		add_target(fleet, rule, 1, fleet->moved_number);
-	rule->comment = g_strdup("asked by the test");
-	return rule;
-}
-
-static struct rule_set *make_rules(struct flow_fleet *fleet)
-{
-	struct rule_set *rules = rule_set_new(fleet->revision);
-
-	for (uint32_t i = 0; i < FLEET_SERVICE_COUNT; i++)
-		rule_set_add(rules, make_rule(fleet, i));
-	return rules;
-}
-
 /* Publishes the rules as they are now; each node learns them in its time. */
 void flow_fleet_publish(struct flow_fleet *fleet)
 {
@@ -262,7 +172,8 @@
 		fleet->generations[1] = fleet->revision;
 	for (uint32_t i = 0; i < fleet->node_count; i++)
 		post_news(&fleet->nodes[i],
-			  (struct news){.rules = make_rules(fleet)}, false);
+			  (struct news){.rules = fleet_make_rules(fleet)},
+			  false);
 }
 
 /* Gives the first service the targets first to first + count - 1. */
@@ -308,7 +219,7 @@
 void flow_fleet_target(struct flow_fleet *fleet, uint32_t number,
 		       enum target_state state)
 {
-	uint64_t target_id = make_target(fleet, 0, number).target_id;
+	uint64_t target_id = fleet_make_target(fleet, 0, number).target_id;
 
 	fleet->leaving_since_ms[number] =
 		state == TARGET_LEAVING ? driver_now_ms(fleet->driver) : 0;
@@ -326,7 +237,7 @@
 	fleet->nodes[node].is_joining = true;
 	set_truth(fleet, node, NODE_JOINING);
 	post_news(&fleet->nodes[node],
-		  (struct news){.rules = make_rules(fleet)}, true);
+		  (struct news){.rules = fleet_make_rules(fleet)}, true);
 	fleet_spread_views(fleet);
 	post_view(fleet, node, true);
 }
@@ -385,7 +296,7 @@
 	set_truth(fleet, node, NODE_JOINING);
 	fleet->nodes[node].is_joining = true;
 	post_news(&fleet->nodes[node],
-		  (struct news){.rules = make_rules(fleet)}, false);
+		  (struct news){.rules = fleet_make_rules(fleet)}, false);
 	fleet_spread_views(fleet);
 }
 
@@ -473,7 +384,8 @@
 
 	for (uint32_t i = 0; i < fleet->pool_count; i++) {
 		uint32_t number = fleet->pool_first + i;
-		double weight = i == 0 ? fleet->weight_of_first : SLOT_COUNT;
+		double weight =
+			i == 0 ? fleet->weight_of_first : FLEET_SLOT_COUNT;
 		double flows = fleet->flow_counts[number];
 
 		if (fleet->leaving_since_ms[number] > 0)
@@ -573,7 +485,7 @@
 	fleet->driver = make_driver(fleet);
 	name_parts(fleet);
 	fleet_traffic_init(fleet);
-	flow_fleet_pool(fleet, 0, options->target_count, SLOT_COUNT);
+	flow_fleet_pool(fleet, 0, options->target_count, FLEET_SLOT_COUNT);
 	start_nodes(fleet);
 	return fleet;
 }
--- /dev/null
+++ b/fakes/src/flow_fleet_rules.c
@@ -0,0 +1,93 @@
+#include "flow_fleet_state.h"
+
+#define SERVICE_PORT 80
+#define TARGET_PORT 8080
+#define TARGET_FIRST 0x0a010000U
+#define SERVICE_FIRST 0x0a000001U
+
+static const char *const service_names[FLEET_SERVICE_COUNT] = {
+	"order-desk",
+	"catalogue",
+};
+
+/* Returns the address that callers of a service send to. */
+struct endpoint fleet_service_address(uint32_t service)
+{
+	return (struct endpoint){
+		.addr = ip_addr_from_v4(SERVICE_FIRST + service),
+		.port = SERVICE_PORT,
+	};
+}
+
+/* Makes a target of a service as the rules name it now. */
+struct target fleet_make_target(const struct flow_fleet *fleet,
+				uint32_t service, uint32_t number)
+{
+	struct target target = {
+		.endpoint = {.addr = ip_addr_from_v4(TARGET_FIRST + number),
+			     .port = TARGET_PORT},
+		.service_id = service_id_from_name(service_names[service]),
+		.zone_id = fleet->zone_of_target[number],
+		.slot_count = FLEET_SLOT_COUNT,
+		.weight = FLEET_SLOT_COUNT,
+		.incarnation = number == fleet->moved_number && service == 1,
+	};
+
+	if (service == 0 && number == fleet->pool_first)
+		target.weight = fleet->weight_of_first;
+	target.target_id = target_id_of(&target);
+	return target;
+}
+
+static void add_target(struct flow_fleet *fleet, struct rule *rule,
+		       uint32_t service, uint32_t number)
+{
+	rule->targets[rule->target_count++] =
+		fleet_make_target(fleet, service, number);
+	fleet->owners[number] = (uint8_t)(service + 1);
+}
+
+/* The pool may have lost targets since the rules were made last. */
+static void disown_targets(struct flow_fleet *fleet, uint32_t service)
+{
+	for (uint32_t i = 0; i < TARGET_NUMBERS; i++) {
+		if (fleet->owners[i] == service + 1)
+			fleet->owners[i] = 0;
+	}
+}
+
+static struct rule *make_rule(struct flow_fleet *fleet, uint32_t service)
+{
+	struct rule *rule = g_new0(struct rule, 1);
+	uint32_t first = service == 0 ? fleet->pool_first : SERVICE_1_FIRST;
+	uint32_t count = service == 0 ? fleet->pool_count : SERVICE_1_COUNT;
+
+	g_strlcpy(rule->service.name, service_names[service],
+		  SERVICE_NAME_BYTES);
+	rule->service.service_id = service_id_from_name(service_names[service]);
+	rule->generation = fleet->generations[service];
+	rule->form = fleet->form;
+	rule->address_count = 1;
+	rule->addresses = g_new0(struct endpoint, 1);
+	rule->addresses[0] = fleet_service_address(service);
+	rule->targets = g_new0(struct target, count + 1);
+	disown_targets(fleet, service);
+	for (uint32_t i = 0; i < count; i++) {
+		if (service != 0 || first + i != fleet->removed_number)
+			add_target(fleet, rule, service, first + i);
+	}
+	if (service == 1 && fleet->moved_number < TARGET_NUMBERS)
+		add_target(fleet, rule, 1, fleet->moved_number);
+	rule->comment = g_strdup("asked by the test");
+	return rule;
+}
+
+/* Makes the rules as they are now; the caller frees them. */
+struct rule_set *fleet_make_rules(struct flow_fleet *fleet)
+{
+	struct rule_set *rules = rule_set_new(fleet->revision);
+
+	for (uint32_t i = 0; i < FLEET_SERVICE_COUNT; i++)
+		rule_set_add(rules, make_rule(fleet, i));
+	return rules;
+}
--- a/fakes/src/flow_fleet_state.h
+++ b/fakes/src/flow_fleet_state.h
@@ -7,6 +7,7 @@
 #define WHEEL_STEPS 512
 #define TARGET_NUMBERS 512
 #define WINDOW_S 10
+#define FLEET_SLOT_COUNT 3
 #define SERVICE_1_FIRST 256
 #define SERVICE_1_COUNT 4
 
@@ -85,6 +86,9 @@
 void fleet_traffic_free(struct flow_fleet *fleet);
 void fleet_replace_step(struct flow_fleet *fleet);
 void fleet_spread_views(struct flow_fleet *fleet);
+struct target fleet_make_target(const struct flow_fleet *fleet,
+				uint32_t service, uint32_t number);
+struct rule_set *fleet_make_rules(struct flow_fleet *fleet);
 void *fleet_copy_message(const void *message);
 
 #endif
