--- a/ctl/include/ctl/bench.h
+++ b/ctl/include/ctl/bench.h
@@ -12,12 +12,9 @@
 
 extern const struct bench bench_config;
 extern const struct bench bench_decide;
-<<<<<<< HEAD
 extern const struct bench bench_members;
-=======
 extern const struct bench bench_flows;
 extern const struct bench bench_flow_pairs;
->>>>>>> main
 extern const struct bench bench_path;
 extern const struct bench bench_flood;
 
