Run the membership bench on one fleet a size

Cause: the bench took 4 min 34 s, most of it starting fleets anew, sorting all news for each message and comparing views that nobody counted.

--- a/core/src/membership_send.c
+++ b/core/src/membership_send.c
@@ -35,49 +35,60 @@
 	membership->has_news = true;
 }
 
-static int compare_news(const void *a, const void *b)
+static bool is_fresher(const struct member *a, const struct member *b)
 {
-	const struct member *left = *(struct member *const *)a;
-	const struct member *right = *(struct member *const *)b;
+	if (a->sends_left != b->sends_left)
+		return a->sends_left > b->sends_left;
+	return a->node.node_id < b->node.node_id;
+}
 
-	if (left->sends_left != right->sends_left)
-		return left->sends_left > right->sends_left ? -1 : 1;
-	return left->node.node_id < right->node.node_id ? -1 : 1;
+/* Keeps the freshest members in order; a full list loses its last. */
+static uint32_t insert_news(struct member **news, uint32_t count,
+			    uint32_t count_max, struct member *member)
+{
+	uint32_t place = count;
+
+	while (place > 0 && is_fresher(member, news[place - 1]))
+		place--;
+	if (place == count_max)
+		return count;
+	count = MIN(count + 1, count_max);
+	for (uint32_t i = count - 1; i > place; i--)
+		news[i] = news[i - 1];
+	news[place] = member;
+	return count;
 }
 
-static GPtrArray *collect_news(const struct membership *membership)
+static uint32_t choose_news(const struct membership *membership,
+			    struct member **news, uint32_t count_max)
 {
-	GPtrArray *news = g_ptr_array_new();
+	uint32_t count = 0;
 
 	for (uint32_t i = 0; i < member_table_count(membership->table); i++) {
 		struct member *member = member_table_at(membership->table, i);
 
 		if (member->sends_left > 0)
-			g_ptr_array_add(news, member);
+			count = insert_news(news, count, count_max, member);
 	}
-	g_ptr_array_sort(news, compare_news);
-	return news;
+	return count;
 }
 
 static void add_news(struct membership *membership,
 		     struct member_message *message)
 {
-	GPtrArray *news;
+	struct member *news[MEMBER_GOSSIP_UPDATES_MAX];
+	uint32_t count_max = MEMBER_GOSSIP_UPDATES_MAX - message->update_count;
+	uint32_t count;
 
 	if (!membership->has_news)
 		return;
-	news = collect_news(membership);
-	membership->has_news = news->len > 0;
-	for (guint i = 0; i < news->len; i++) {
-		struct member *member = g_ptr_array_index(news, i);
-
-		if (message->update_count == MEMBER_GOSSIP_UPDATES_MAX)
-			break;
+	count = choose_news(membership, news, count_max);
+	membership->has_news = count > 0;
+	for (uint32_t i = 0; i < count; i++) {
 		message->updates[message->update_count++] =
-			member_to_update(member);
-		member->sends_left--;
+			member_to_update(news[i]);
+		news[i]->sends_left--;
 	}
-	g_ptr_array_free(news, TRUE);
 }
 
 /*
--- a/ctl/src/bench_members.c
+++ b/ctl/src/bench_members.c
@@ -28,6 +28,7 @@
 	uint64_t dead_node_id;
 	int64_t first_ms;
 	int64_t last_ms;
+	bool is_counting_homes;
 	uint64_t *home_digests;
 	uint32_t home_change_count;
 	struct member_fleet *fleet;
@@ -69,10 +70,12 @@
 		    const struct node_view *view)
 {
 	struct watch *watch = context;
-	uint64_t digest = home_digest(view);
+	uint64_t digest;
 
-	if (watch->is_measuring && digest != watch->home_digests[instance])
-		watch->home_change_count++;
+	if (!watch->is_counting_homes)
+		return;
+	digest = home_digest(view);
+	watch->home_change_count += digest != watch->home_digests[instance];
 	watch->home_digests[instance] = digest;
 }
 
@@ -129,16 +132,13 @@
 
 #define IDLE_MS 20000
 
-static double measure_idle(uint32_t node_count)
+static double measure_idle(struct watch *watch, uint32_t node_count)
 {
-	struct watch *watch = watch_new(node_count, 0);
 	uint64_t before = bytes_of_all(watch, node_count);
-	uint64_t bytes;
 
 	run_for(watch, IDLE_MS);
-	bytes = bytes_of_all(watch, node_count) - before;
-	watch_free(watch);
-	return (double)bytes / node_count / ((double)IDLE_MS / MS_PER_S);
+	return (double)(bytes_of_all(watch, node_count) - before) * MS_PER_S /
+	       node_count / IDLE_MS;
 }
 
 #define REPLACE_INTERVAL_MS 1000
@@ -148,12 +148,10 @@
  * Replaces one node a second, as when all VMs of a fleet are renewed, and
  * returns what a node that stays spends.
  */
-static double measure_replacing(uint32_t node_count)
+static double measure_replacing(struct watch *watch, uint32_t node_count)
 {
-	struct watch *watch = watch_new(node_count, 0);
 	uint32_t stayer = node_count - 1;
 	uint64_t before = bytes_of(watch, stayer);
-	uint64_t bytes;
 
 	for (uint32_t i = 0; i < REPLACE_COUNT; i++) {
 		uint32_t place = i % (node_count - 1);
@@ -162,9 +160,7 @@
 		member_fleet_start(watch->fleet, place);
 		run_for(watch, REPLACE_INTERVAL_MS);
 	}
-	bytes = bytes_of(watch, stayer) - before;
-	watch_free(watch);
-	return (double)bytes * MS_PER_S /
+	return (double)(bytes_of(watch, stayer) - before) * MS_PER_S /
 	       ((double)REPLACE_COUNT * REPLACE_INTERVAL_MS);
 }
 
@@ -190,30 +186,22 @@
 }
 
 static void report_bytes(struct bench_report *report, const char *kind,
-			 double (*measure)(uint32_t node_count))
+			 uint32_t node_count, double value)
 {
-	double values[POINT_COUNT];
+	bool is_today = node_count == NODE_COUNT_TODAY;
 	char name[64];
 
-	for (uint32_t i = 0; i < POINT_COUNT; i++) {
-		bool is_today = node_counts[i] == NODE_COUNT_TODAY;
-
-		values[i] = measure(node_counts[i]);
-		g_snprintf(name, sizeof(name), "%s_bytes.%u", kind,
-			   node_counts[i]);
-		bench_report_figure(
-			report, name, values[i], "bytes/s/node", BOUND_AT_MOST,
-			is_today ? CONTROL_BOUND_TODAY_BYTES_PER_S
-				 : CONTROL_BOUND_TARGET_BYTES_PER_S);
-	}
-	report_fit(report, kind, values);
+	g_snprintf(name, sizeof(name), "%s_bytes.%u", kind, node_count);
+	bench_report_figure(report, name, value, "bytes/s/node", BOUND_AT_MOST,
+			    is_today ? CONTROL_BOUND_TODAY_BYTES_PER_S
+				     : CONTROL_BOUND_TARGET_BYTES_PER_S);
 }
 
 #define DETECT_MS 30000
 
-static void report_detection(struct bench_report *report, uint32_t node_count)
+static void report_detection(struct bench_report *report, struct watch *watch,
+			     uint32_t node_count)
 {
-	struct watch *watch = watch_new(node_count, 0);
 	int64_t killed_ms = driver_now_ms(member_fleet_driver(watch->fleet));
 	double last_s;
 	char name[64];
@@ -227,11 +215,38 @@
 	bench_report_figure(report, name,
 			    watch->died_count == node_count - 1 ? last_s : -1,
 			    "s", BOUND_AT_LEAST, 0);
-	watch_free(watch);
+}
+
+#define CUT_MS 60000
+
+/* The views of all nodes, in the zone and out of it, while it is cut. */
+static void report_zone_cut(struct bench_report *report, struct watch *watch,
+			    uint32_t node_count)
+{
+	char name[64];
+
+	for (uint32_t i = 0; i < node_count; i++)
+		watch->home_digests[i] =
+			home_digest(member_fleet_view(watch->fleet, i));
+	watch->is_counting_homes = true;
+	member_fleet_cut_zone(watch->fleet, 1, true);
+	run_for(watch, CUT_MS);
+	member_fleet_cut_zone(watch->fleet, 1, false);
+	run_for(watch, CUT_MS);
+	watch->is_counting_homes = false;
+	g_snprintf(name, sizeof(name), "home_changes_by_zone_cut.%u",
+		   node_count);
+	bench_report_figure(report, name, watch->home_change_count, "changes",
+			    BOUND_AT_MOST, 0);
+	g_snprintf(name, sizeof(name), "agreed_after_zone_cut.%u", node_count);
+	bench_report_figure(report, name,
+			    member_fleet_is_converged(watch->fleet), "",
+			    BOUND_AT_LEAST, 1);
 }
 
 #define LOSS_PPM 50000
 #define LOSS_MS 600000
+#define LOSS_NODE_COUNT 71
 
 static void report_false_deaths(struct bench_report *report,
 				uint32_t node_count)
@@ -247,39 +262,41 @@
 	watch_free(watch);
 }
 
-#define CUT_MS 60000
+static bool is_bound_size(uint32_t node_count)
+{
+	return node_count == NODE_COUNT_TODAY ||
+	       node_count == NODE_COUNT_TARGET;
+}
 
-/* The views of all nodes, in the zone and out of it, while it is cut. */
-static void report_zone_cut(struct bench_report *report, uint32_t node_count)
+/* One fleet of each size goes through everything, from the calm to the cut. */
+static void measure_size(struct bench_report *report, uint32_t point,
+			 double *idle, double *replacing)
 {
+	uint32_t node_count = node_counts[point];
 	struct watch *watch = watch_new(node_count, 0);
-	char name[64];
 
-	member_fleet_cut_zone(watch->fleet, 1, true);
-	run_for(watch, CUT_MS);
-	member_fleet_cut_zone(watch->fleet, 1, false);
-	run_for(watch, CUT_MS);
-	g_snprintf(name, sizeof(name), "home_changes_by_zone_cut.%u",
-		   node_count);
-	bench_report_figure(report, name, watch->home_change_count, "changes",
-			    BOUND_AT_MOST, 0);
-	g_snprintf(name, sizeof(name), "agreed_after_zone_cut.%u", node_count);
-	bench_report_figure(report, name,
-			    member_fleet_is_converged(watch->fleet), "",
-			    BOUND_AT_LEAST, 1);
+	idle[point] = measure_idle(watch, node_count);
+	report_bytes(report, "idle", node_count, idle[point]);
+	if (is_bound_size(node_count))
+		report_zone_cut(report, watch, node_count);
+	replacing[point] = measure_replacing(watch, node_count);
+	report_bytes(report, "replacing", node_count, replacing[point]);
+	run_for(watch, SETTLE_MS);
+	report_detection(report, watch, node_count);
 	watch_free(watch);
 }
 
 static void run(struct bench_report *report)
 {
-	report_bytes(report, "idle", measure_idle);
-	report_bytes(report, "replacing", measure_replacing);
-	report_detection(report, NODE_COUNT_TODAY);
-	report_detection(report, NODE_COUNT_TARGET);
+	double idle[POINT_COUNT];
+	double replacing[POINT_COUNT];
+
+	for (uint32_t i = 0; i < POINT_COUNT; i++)
+		measure_size(report, i, idle, replacing);
+	report_fit(report, "idle", idle);
+	report_fit(report, "replacing", replacing);
 	report_false_deaths(report, NODE_COUNT_TODAY);
-	report_false_deaths(report, 71);
-	report_zone_cut(report, NODE_COUNT_TODAY);
-	report_zone_cut(report, NODE_COUNT_TARGET);
+	report_false_deaths(report, LOSS_NODE_COUNT);
 }
 
 const struct bench bench_members = {
