--- a/core/src/member_probe.h
+++ b/core/src/member_probe.h
@@ -1,8 +1,8 @@
 #ifndef MEMBER_PROBE_H
 #define MEMBER_PROBE_H
 
-#include <core/endpoint.h>
 #include <glib.h>
+#include <stdint.h>
 
 enum probe_stage {
 	PROBE_DIRECT,
@@ -20,7 +20,6 @@
 	int64_t started_ms;
 	uint64_t requester_id;
 	uint32_t requester_probe_id;
-	struct endpoint requester;
 };
 
 #define PROBE_COUNT_MAX 256
--- a/core/src/membership.c
+++ b/core/src/membership.c
@@ -146,8 +146,8 @@
 		membership_on_ack(membership, from_node_id, message, now_ms);
 		return;
 	case MEMBER_PROBE_REQUEST:
-		membership_on_probe_request(membership, from_node_id, from,
-					    message, now_ms);
+		membership_on_probe_request(membership, from_node_id, message,
+					    now_ms);
 		return;
 	case MEMBER_SYNC_REQUEST:
 		membership_on_sync_request(membership, from_node_id, from);
--- a/core/src/membership_probe.c
+++ b/core/src/membership_probe.c
@@ -277,7 +277,6 @@
 /* Probes a member on behalf of another that cannot reach it. */
 void membership_on_probe_request(struct membership *membership,
 				 uint64_t from_node_id,
-				 const struct endpoint *from,
 				 const struct member_message *message,
 				 int64_t now_ms)
 {
@@ -286,8 +285,7 @@
 	struct member_probe probe = {.target_id = message->subject_id,
 				     .started_ms = now_ms,
 				     .requester_id = from_node_id,
-				     .requester_probe_id = message->probe_id,
-				     .requester = *from};
+				     .requester_probe_id = message->probe_id};
 	const struct member_probe *added;
 
 	if (!target || target == membership->self)
--- a/core/src/membership_state.h
+++ b/core/src/membership_state.h
@@ -94,7 +94,6 @@
 		       const struct member_message *message, int64_t now_ms);
 void membership_on_probe_request(struct membership *membership,
 				 uint64_t from_node_id,
-				 const struct endpoint *from,
 				 const struct member_message *message,
 				 int64_t now_ms);
 
