--- a/core/src/request_pool.c
+++ b/core/src/request_pool.c
@@ -1,10 +1,18 @@
 #include "request_pool.h"
 
-/* How long a class may be expected to wait for its turn. */
-static const uint32_t wait_ms[CLASS_COUNT] = {
-	[CLASS_URGENT] = 250,
-	[CLASS_NORMAL] = 500,
-	[CLASS_BULK] = 2000,
+#include "request_service.h"
+
+/*
+ * How long a class may be expected to wait for its turn, and how many requests
+ * of it may wait however long that takes: small shares come in bursts too.
+ */
+static const struct {
+	uint32_t wait_ms;
+	uint32_t places_least;
+} patience[CLASS_COUNT] = {
+	[CLASS_URGENT] = {250, 9},
+	[CLASS_NORMAL] = {500, 9},
+	[CLASS_BULK] = {2000, 4},
 };
 
 /* Makes a pool whose queues hold queue_limit requests each. */
@@ -13,7 +21,8 @@
 	struct request_pool *pool = g_new0(struct request_pool, 1);
 
 	for (int i = 0; i < CLASS_COUNT; i++)
-		pool->queues[i] = class_queue_new(queue_limit, wait_ms[i]);
+		pool->queues[i] =
+			class_queue_new(queue_limit, patience[i].wait_ms);
 	admission_init(&pool->admission);
 	pool->members = g_array_new(FALSE, FALSE, sizeof(struct pool_member));
 	pool->retry_ms = INT64_MAX;
@@ -34,7 +43,13 @@
 /* Returns how long a class may be expected to wait in its queue. */
 uint32_t request_pool_wait_ms(enum work_class work_class)
 {
-	return wait_ms[work_class];
+	return patience[work_class].wait_ms;
+}
+
+/* Returns how many requests of a class may wait in any case. */
+uint32_t request_pool_places_least(enum work_class work_class)
+{
+	return patience[work_class].places_least;
 }
 
 /* Tells whether any class has a request waiting. */
@@ -46,3 +61,42 @@
 	}
 	return false;
 }
+
+static bool takes_work(const struct request_service *service, uint32_t index,
+		       int64_t now_ms)
+{
+	const struct target_track *track =
+		g_ptr_array_index(service->tracks, index);
+
+	return service->states[index] != TARGET_LEAVING &&
+	       service->states[index] != TARGET_CUT_OFF &&
+	       !outlier_is_ejected(&track->outlier, now_ms);
+}
+
+static void add_limits(struct admission_limits *limits,
+		       struct target_track *track, int64_t now_ms)
+{
+	uint64_t share = slow_start_share_milli(&track->slow_start, now_ms);
+
+	limits->share_milli +=
+		(uint32_t)(target_limit_share_milli(&track->limit) * share /
+			   SLOW_START_FULL_MILLI);
+	limits->limit_milli += (uint32_t)(target_limit_milli(&track->limit) *
+					  share / SLOW_START_FULL_MILLI);
+}
+
+/* Adds up what the targets of a pool that take work leave this node. */
+struct admission_limits request_pool_limits(const struct request_pool *pool,
+					    int64_t now_ms)
+{
+	struct admission_limits limits = {.share_milli = 0};
+
+	for (guint i = 0; i < pool->members->len; i++) {
+		const struct pool_member *member =
+			&g_array_index(pool->members, struct pool_member, i);
+
+		if (takes_work(member->service, member->index, now_ms))
+			add_limits(&limits, member->track, now_ms);
+	}
+	return limits;
+}
