--- a/ctl/src/bench_members.c
+++ b/ctl/src/bench_members.c
@@ -77,7 +77,8 @@
 			&watch->homes[instance * watch->node_count + i];
 
 		if (watch->is_counting_flips && is_home != seen->is_home)
-			watch->flip_max = MAX(watch->flip_max, ++seen->flips);
+			seen->flips++;
+		watch->flip_max = MAX(watch->flip_max, seen->flips);
 		seen->is_home = is_home;
 	}
 }
