--- a/ctl/src/bench_members.c
+++ b/ctl/src/bench_members.c
@@ -29,13 +29,13 @@
 /* What the nodes of one fleet reported while it was being measured. */
 struct watch {
 	bool is_measuring;
-	bool is_counting_flips;
 	uint32_t died_count;
 	uint32_t false_death_count;
 	uint64_t dead_node_id;
 	int64_t first_ms;
 	int64_t last_ms;
 	uint32_t node_count;
+	bool is_counting_flips;
 	struct home_seen *homes;
 	uint32_t flip_max;
 	struct member_fleet *fleet;
@@ -67,25 +67,31 @@
 }
 
 /* Counts how often each node became a home or ceased to be one. */
-static void on_view(void *context, uint32_t instance,
-		    const struct node_view *view)
+static void note_homes(struct watch *watch, uint32_t instance,
+		       const struct node_view *view)
 {
-	struct watch *watch = context;
-
-	for (uint32_t i = 0; watch->is_counting_flips && i < watch->node_count;
-	     i++) {
+	for (uint32_t i = 0; i < watch->node_count; i++) {
 		uint64_t node_id = member_fleet_node_id(watch->fleet, i);
 		bool is_home = may_be_home(node_view_find(view, node_id));
 		struct home_seen *seen =
 			&watch->homes[instance * watch->node_count + i];
 
-		if (is_home != seen->is_home)
+		if (watch->is_counting_flips && is_home != seen->is_home)
 			seen->flips++;
-		seen->is_home = is_home;
 		watch->flip_max = MAX(watch->flip_max, seen->flips);
+		seen->is_home = is_home;
 	}
 }
 
+static void on_view(void *context, uint32_t instance,
+		    const struct node_view *view)
+{
+	struct watch *watch = context;
+
+	if (watch->is_counting_flips)
+		note_homes(watch, instance, view);
+}
+
 static struct watch *watch_new(uint32_t node_count, uint32_t loss_ppm)
 {
 	struct watch *watch = g_new0(struct watch, 1);
@@ -140,16 +146,13 @@
 
 #define IDLE_MS 20000
 
-static double measure_idle(uint32_t node_count)
+static double measure_idle(struct watch *watch, uint32_t node_count)
 {
-	struct watch *watch = watch_new(node_count, 0);
 	uint64_t before = bytes_of_all(watch, node_count);
-	uint64_t bytes;
 
 	run_for(watch, IDLE_MS);
-	bytes = bytes_of_all(watch, node_count) - before;
-	watch_free(watch);
-	return (double)bytes / node_count / ((double)IDLE_MS / MS_PER_S);
+	return (double)(bytes_of_all(watch, node_count) - before) * MS_PER_S /
+	       node_count / IDLE_MS;
 }
 
 #define REPLACE_INTERVAL_MS 1000
@@ -159,12 +162,10 @@
  * Replaces one node a second, as when all VMs of a fleet are renewed, and
  * returns what a node that stays spends.
  */
-static double measure_replacing(uint32_t node_count)
+static double measure_replacing(struct watch *watch, uint32_t node_count)
 {
-	struct watch *watch = watch_new(node_count, 0);
 	uint32_t stayer = node_count - 1;
 	uint64_t before = bytes_of(watch, stayer);
-	uint64_t bytes;
 
 	for (uint32_t i = 0; i < REPLACE_COUNT; i++) {
 		uint32_t place = i % (node_count - 1);
@@ -173,9 +174,7 @@
 		member_fleet_start(watch->fleet, place);
 		run_for(watch, REPLACE_INTERVAL_MS);
 	}
-	bytes = bytes_of(watch, stayer) - before;
-	watch_free(watch);
-	return (double)bytes * MS_PER_S /
+	return (double)(bytes_of(watch, stayer) - before) * MS_PER_S /
 	       ((double)REPLACE_COUNT * REPLACE_INTERVAL_MS);
 }
 
@@ -201,30 +200,22 @@
 }
 
 static void report_bytes(struct bench_report *report, const char *kind,
-			 double (*measure)(uint32_t node_count))
+			 uint32_t node_count, double value)
 {
-	double values[POINT_COUNT];
+	bool is_today = node_count == NODE_COUNT_TODAY;
 	char name[64];
 
-	for (uint32_t i = 0; i < POINT_COUNT; i++) {
-		bool is_today = node_counts[i] == NODE_COUNT_TODAY;
-
-		values[i] = measure(node_counts[i]);
-		g_snprintf(name, sizeof(name), "%s_bytes.%u", kind,
-			   node_counts[i]);
-		bench_report_figure(
-			report, name, values[i], "bytes/s/node", BOUND_AT_MOST,
-			is_today ? CONTROL_BOUND_TODAY_BYTES_PER_S
-				 : CONTROL_BOUND_TARGET_BYTES_PER_S);
-	}
-	report_fit(report, kind, values);
+	g_snprintf(name, sizeof(name), "%s_bytes.%u", kind, node_count);
+	bench_report_figure(report, name, value, "bytes/s/node", BOUND_AT_MOST,
+			    is_today ? CONTROL_BOUND_TODAY_BYTES_PER_S
+				     : CONTROL_BOUND_TARGET_BYTES_PER_S);
 }
 
 #define DETECT_MS 30000
 
-static void report_detection(struct bench_report *report, uint32_t node_count)
+static void report_detection(struct bench_report *report, struct watch *watch,
+			     uint32_t node_count)
 {
-	struct watch *watch = watch_new(node_count, 0);
 	int64_t killed_ms = driver_now_ms(member_fleet_driver(watch->fleet));
 	double last_s;
 	char name[64];
@@ -238,11 +229,38 @@
 	bench_report_figure(report, name,
 			    watch->died_count == node_count - 1 ? last_s : -1,
 			    "s", BOUND_AT_LEAST, 0);
-	watch_free(watch);
+}
+
+#define CUT_MS 60000
+#define FLIPS_OUT_AND_BACK 2
+
+/* The views of all nodes, in the zone and out of it, while it is cut. */
+static void report_zone_cut(struct bench_report *report, struct watch *watch,
+			    uint32_t node_count)
+{
+	char name[64];
+
+	for (uint32_t i = 0; i < node_count; i++)
+		note_homes(watch, i, member_fleet_view(watch->fleet, i));
+	watch->is_counting_flips = true;
+	member_fleet_cut_zone(watch->fleet, 1, true);
+	run_for(watch, CUT_MS);
+	member_fleet_cut_zone(watch->fleet, 1, false);
+	run_for(watch, CUT_MS);
+	watch->is_counting_flips = false;
+	g_snprintf(name, sizeof(name), "flips_of_a_home_by_zone_cut.%u",
+		   node_count);
+	bench_report_figure(report, name, watch->flip_max, "flips",
+			    BOUND_AT_MOST, FLIPS_OUT_AND_BACK);
+	g_snprintf(name, sizeof(name), "agreed_after_zone_cut.%u", node_count);
+	bench_report_figure(report, name,
+			    member_fleet_is_converged(watch->fleet), "",
+			    BOUND_AT_LEAST, 1);
 }
 
 #define LOSS_PPM 50000
 #define LOSS_MS 600000
+#define LOSS_NODE_COUNT 71
 
 static void report_false_deaths(struct bench_report *report,
 				uint32_t node_count)
@@ -258,49 +276,41 @@
 	watch_free(watch);
 }
 
-#define CUT_MS 60000
-#define FLIPS_OUT_AND_BACK 2
-
-/* From here on a view that differs from all-are-homes counts. */
-static void start_counting_flips(struct watch *watch)
+static bool is_bound_size(uint32_t node_count)
 {
-	for (uint32_t i = 0; i < watch->node_count * watch->node_count; i++)
-		watch->homes[i].is_home = true;
-	watch->is_counting_flips = true;
+	return node_count == NODE_COUNT_TODAY ||
+	       node_count == NODE_COUNT_TARGET;
 }
 
-/* The views of all nodes, in the zone and out of it, while it is cut. */
-static void report_zone_cut(struct bench_report *report, uint32_t node_count)
+/* One fleet of each size goes through everything, from the calm to the cut. */
+static void measure_size(struct bench_report *report, uint32_t point,
+			 double *idle, double *replacing)
 {
+	uint32_t node_count = node_counts[point];
 	struct watch *watch = watch_new(node_count, 0);
-	char name[64];
 
-	start_counting_flips(watch);
-	member_fleet_cut_zone(watch->fleet, 1, true);
-	run_for(watch, CUT_MS);
-	member_fleet_cut_zone(watch->fleet, 1, false);
-	run_for(watch, CUT_MS);
-	g_snprintf(name, sizeof(name), "flips_of_a_home_by_zone_cut.%u",
-		   node_count);
-	bench_report_figure(report, name, watch->flip_max, "flips",
-			    BOUND_AT_MOST, FLIPS_OUT_AND_BACK);
-	g_snprintf(name, sizeof(name), "agreed_after_zone_cut.%u", node_count);
-	bench_report_figure(report, name,
-			    member_fleet_is_converged(watch->fleet), "",
-			    BOUND_AT_LEAST, 1);
+	idle[point] = measure_idle(watch, node_count);
+	report_bytes(report, "idle", node_count, idle[point]);
+	if (is_bound_size(node_count))
+		report_zone_cut(report, watch, node_count);
+	replacing[point] = measure_replacing(watch, node_count);
+	report_bytes(report, "replacing", node_count, replacing[point]);
+	run_for(watch, SETTLE_MS);
+	report_detection(report, watch, node_count);
 	watch_free(watch);
 }
 
 static void run(struct bench_report *report)
 {
-	report_bytes(report, "idle", measure_idle);
-	report_bytes(report, "replacing", measure_replacing);
-	report_detection(report, NODE_COUNT_TODAY);
-	report_detection(report, NODE_COUNT_TARGET);
+	double idle[POINT_COUNT];
+	double replacing[POINT_COUNT];
+
+	for (uint32_t i = 0; i < POINT_COUNT; i++)
+		measure_size(report, i, idle, replacing);
+	report_fit(report, "idle", idle);
+	report_fit(report, "replacing", replacing);
 	report_false_deaths(report, NODE_COUNT_TODAY);
-	report_false_deaths(report, 71);
-	report_zone_cut(report, NODE_COUNT_TODAY);
-	report_zone_cut(report, NODE_COUNT_TARGET);
+	report_false_deaths(report, LOSS_NODE_COUNT);
 }
 
 const struct bench bench_members = {
