--- a/ctl/include/ctl/bench.h
+++ b/ctl/include/ctl/bench.h
@@ -10,6 +10,7 @@
 	void (*run)(struct bench_report *report);
 };
 
+extern const struct bench bench_capacity;
 extern const struct bench bench_config;
 extern const struct bench bench_decide;
 extern const struct bench bench_flood;
--- a/ctl/src/bench_command.c
+++ b/ctl/src/bench_command.c
@@ -6,6 +6,7 @@
 
 static const struct bench *const benches[] = {
 	/* clang-format off */
+	&bench_capacity,
 	&bench_config,
 	&bench_decide,
 	&bench_flood,
--- /dev/null
+++ b/ctl/src/capacity_slope.h
@@ -0,0 +1,24 @@
+#ifndef CAPACITY_SLOPE_H
+#define CAPACITY_SLOPE_H
+
+#include <ctl/bench_report.h>
+#include <ctl/line_fit.h>
+
+#define CAPACITY_POINT_COUNT 4
+
+/*
+ * One quantity that is measured at some sizes and carried to the size of the
+ * target by a straight line.
+ */
+struct capacity_slope {
+	const char *name;
+	const char *unit;
+	double (*measure)(uint32_t size);
+	uint32_t sizes[CAPACITY_POINT_COUNT];
+	uint32_t target_size;
+};
+
+double capacity_slope_report(const struct capacity_slope *slope,
+			     struct bench_report *report);
+
+#endif
