Queue pools once for a node that takes slots over

On each change a leaving node walked its 16,384 announced slots and posted all pools whenever the receiver differed from that of the slot before: with several receivers, for almost every slot. Tests had one receiver or one change.

Ruled out: the control task's queues and the mailboxes, which are bounded.

Change: a change notes which nodes wait; each gets the pools once, when it has taken all it was sent before. flow_director_queued_count tells what waits.

Conclusion: what waits is bounded by receivers and pools, not by changes.

--- a/core/include/core/flow_director.h
+++ b/core/include/core/flow_director.h
@@ -48,6 +48,7 @@
 bool flow_director_may_stop(const struct flow_director *director);
 uint32_t flow_director_flow_count(const struct flow_director *director);
 uint64_t flow_director_size_bytes(const struct flow_director *director);
+uint32_t flow_director_queued_count(const struct flow_director *director);
 uint64_t flow_director_sent_bytes(const struct flow_director *director);
 void flow_director_tick(struct flow_director *director, int64_t now_ms);
 
--- a/core/include/core/flow_outbox.h
+++ b/core/include/core/flow_outbox.h
@@ -22,6 +22,7 @@
 
 struct flow_outbox *flow_outbox_new(const struct flow_outbox_options *options);
 void flow_outbox_free(struct flow_outbox *outbox);
+uint32_t flow_outbox_queued_count(const struct flow_outbox *outbox);
 bool flow_outbox_has_budget(const struct flow_outbox *outbox);
 bool flow_outbox_add(struct flow_outbox *outbox, uint64_t to_node_id,
 		     enum flow_message_kind kind, uint64_t print_low,
--- a/core/src/flow_director.c
+++ b/core/src/flow_director.c
@@ -48,6 +48,8 @@
 	director->prepared = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						   g_free, g_free);
 	director->outbox = make_outbox(director);
+	director->pools_due = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						    g_free, NULL);
 	director->slots = g_new0(struct director_slot, HOME_SLOT_COUNT);
 	for (uint32_t i = 0; i < HOME_SLOT_COUNT; i++)
 		director->slots[i].epoch = 1;
@@ -62,6 +64,7 @@
 	if (!director)
 		return;
 	free_histories(director);
+	g_hash_table_destroy(director->pools_due);
 	flow_outbox_free(director->outbox);
 	g_hash_table_destroy(director->prepared);
 	flow_table_free(director->table);
@@ -261,6 +264,12 @@
 				  sizeof(struct slot_homes));
 }
 
+/* Returns how many messages wait to be sent or acknowledged. */
+uint32_t flow_director_queued_count(const struct flow_director *director)
+{
+	return flow_outbox_queued_count(director->outbox);
+}
+
 /* Returns the bytes of messages sent to other nodes since the start. */
 uint64_t flow_director_sent_bytes(const struct flow_director *director)
 {
--- a/core/src/flow_director_state.h
+++ b/core/src/flow_director_state.h
@@ -56,6 +56,8 @@
 	/* Of nodes: the revision, plus one, whose pools they were sent. */
 	GHashTable *prepared;
 	struct flow_outbox *outbox;
+	/* Nodes that wait for the pools of newer rules. */
+	GHashTable *pools_due;
 	struct director_slot *slots;
 	/* The part of all slots whose home is here, for bounds per node. */
 	uint32_t home_slot_count;
--- a/core/src/flow_outbox.c
+++ b/core/src/flow_outbox.c
@@ -105,6 +105,19 @@
 	return lane;
 }
 
+/* Returns how many closed messages wait for all nodes together. */
+uint32_t flow_outbox_queued_count(const struct flow_outbox *outbox)
+{
+	GHashTableIter iter;
+	struct lane *lane;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, outbox->lanes);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&lane))
+		count += g_queue_get_length(&lane->queue);
+	return count;
+}
+
 /* Tells whether bytes are left to send now. */
 bool flow_outbox_has_budget(const struct flow_outbox *outbox)
 {
--- a/core/src/flow_sweep.c
+++ b/core/src/flow_sweep.c
@@ -217,23 +217,60 @@
 		flow_outbox_post(director->outbox, to_node_id, &message);
 }
 
-/*
- * A node that takes over slots may hold newer rules than this one had when it
- * announced them, and waits for the pools before; they are known here now.
- */
-void flow_director_resend_pools(struct flow_director *director, int64_t now_ms)
+/* The nodes to which slots have been announced and that have not taken them. */
+static GHashTable *find_receivers(const struct flow_director *director)
 {
-	uint64_t last_id = NODE_NONE;
+	GHashTable *receivers = g_hash_table_new_full(
+		g_int64_hash, g_int64_equal, g_free, NULL);
 
 	for (uint32_t i = 0; i < HOME_SLOT_COUNT; i++) {
 		const struct director_slot *slot = &director->slots[i];
 
-		if (slot->handover != HANDOVER_ANNOUNCED ||
-		    slot->given_to == last_id)
+		if (slot->handover == HANDOVER_ANNOUNCED &&
+		    !g_hash_table_contains(receivers, &slot->given_to))
+			g_hash_table_add(receivers,
+					 g_memdup2(&slot->given_to,
+						   sizeof(slot->given_to)));
+	}
+	return receivers;
+}
+
+/*
+ * Pools go to a node that has taken all it was sent before, so that a burst
+ * of changes queues them once and not once for each change.
+ */
+static void send_due_pools(struct flow_director *director, int64_t now_ms)
+{
+	GHashTable *receivers;
+	GHashTableIter iter;
+	uint64_t *node_id;
+
+	if (g_hash_table_size(director->pools_due) == 0)
+		return;
+	receivers = find_receivers(director);
+	g_hash_table_iter_init(&iter, director->pools_due);
+	while (g_hash_table_iter_next(&iter, (gpointer *)&node_id, NULL)) {
+		bool is_wanted = g_hash_table_contains(receivers, node_id);
+
+		if (is_wanted &&
+		    !flow_outbox_is_idle(director->outbox, *node_id))
 			continue;
-		last_id = slot->given_to;
-		post_pools(director, last_id, now_ms);
+		if (is_wanted)
+			post_pools(director, *node_id, now_ms);
+		g_hash_table_iter_remove(&iter);
 	}
+	g_hash_table_destroy(receivers);
+}
+
+/*
+ * A node that takes over slots may hold newer rules than this one had when it
+ * announced them, and waits for the pools before; they are known here now.
+ */
+void flow_director_resend_pools(struct flow_director *director, int64_t now_ms)
+{
+	g_hash_table_destroy(director->pools_due);
+	director->pools_due = find_receivers(director);
+	send_due_pools(director, now_ms);
 }
 
 /* A slot without a base gets one when its handover is announced. */
@@ -370,6 +407,7 @@
 	uint32_t passed =
 		flow_table_sweep(director->table, step, director, visit);
 
+	send_due_pools(director, now_ms);
 	if (is_pass)
 		director->pass_left -= MIN(passed, director->pass_left);
 	if (director->pass_left > 0)
