Ask absent former holders for claims less and less often

Cause: a holder asked each former member that had not answered every 200 ms, for as long as a step of the roster was open.

Change: the interval doubles from 200 ms to 6.4 s and starts anew with each epoch of the roster.

Conclusion: what an absent member costs falls by the ratio of the intervals, 32.

--- a/core/src/claim_holder.c
+++ b/core/src/claim_holder.c
@@ -1,6 +1,7 @@
 #include "claim_holder_state.h"
 
 #define FETCH_INTERVAL_MS 200
+#define FETCH_INTERVAL_MAX_MS 6400
 #define PROBE_PART 3
 #define NO_LEASE_PROBE_MS 1000
 #define HEARD_NEVER_MS INT64_MIN
@@ -121,6 +122,12 @@
 	}
 }
 
+static void lengthen_fetch_interval(struct claim_holder *holder)
+{
+	holder->fetch_interval_ms =
+		MIN(holder->fetch_interval_ms * 2, FETCH_INTERVAL_MAX_MS);
+}
+
 static bool is_member(const struct claim_holder *holder)
 {
 	return holder->roster.epoch_count > 0 &&
@@ -185,6 +192,7 @@
 		return;
 	claim_holder_drop_steps(holder);
 	probe(holder, now_ms);
+	holder->fetch_interval_ms = FETCH_INTERVAL_MS;
 	fetch_all(holder, now_ms);
 }
 
@@ -304,8 +312,10 @@
 		probe(holder, now_ms);
 	if (claim_holder_is_complete(holder))
 		return holder->probed_ms + probe_interval_ms;
-	if (now_ms - holder->fetched_ms >= FETCH_INTERVAL_MS)
+	if (now_ms - holder->fetched_ms >= holder->fetch_interval_ms) {
 		fetch_all(holder, now_ms);
+		lengthen_fetch_interval(holder);
+	}
 	return MIN(holder->probed_ms + probe_interval_ms,
-		   holder->fetched_ms + FETCH_INTERVAL_MS);
+		   holder->fetched_ms + holder->fetch_interval_ms);
 }
--- a/core/src/claim_holder_state.h
+++ b/core/src/claim_holder_state.h
@@ -16,6 +16,8 @@
 	GArray *steps;
 	int64_t heard_ms[ROSTER_MEMBERS_MAX];
 	int64_t fetched_ms;
+	/* Doubles while nothing changes, so that absent members cost little. */
+	uint32_t fetch_interval_ms;
 	int64_t probed_ms;
 };
 
