--- a/ctl/src/bench_capacity.c
+++ b/ctl/src/bench_capacity.c
@@ -142,7 +142,8 @@
 
 	for (uint32_t i = 0; i < SLOPE_COUNT; i++)
 		carried[i] = capacity_slope_report(&slopes[i], report);
-	bench_report_figure(report, "node.flows", NODE_FLOWS, "flows",
+	bench_report_figure(report, "node.flows",
+			    slopes[SLOPE_FLOW_STATE].target_size, "flows",
 			    BOUND_NONE, 0);
 	bench_report_figure(report, "node.new_flows", NODE_NEW_FLOWS_PER_S,
 			    "1/s", BOUND_NONE, 0);
--- a/ctl/src/check_command.c
+++ b/ctl/src/check_command.c
@@ -2,6 +2,7 @@
 
 #include <core/rules_text.h>
 #include <stdio.h>
+#include <string.h>
 
 /* Prints each bad line as file:line:column with expected and found. */
 static void print_faults(const char *path, const struct rules_text *text)
@@ -18,6 +19,12 @@
 	}
 }
 
+static const char usage_text[] =
+	"Usage: shallotctl check FILE\n"
+	"Prints file:line:column, what was expected and found for each bad "
+	"line.\n"
+	"Exits 0 when there is none and 65 otherwise.\n";
+
 static int run(int argc, char **argv)
 {
 	GError *error = NULL;
@@ -26,8 +33,12 @@
 	struct rules_text *text;
 	uint32_t fault_count;
 
+	if (argc == 2 && strcmp(argv[1], "--help") == 0) {
+		fputs(usage_text, stdout);
+		return EXIT_CODE_DONE;
+	}
 	if (argc != 2) {
-		fputs("Usage: shallotctl check FILE\n", stderr);
+		fputs(usage_text, stderr);
 		return EXIT_CODE_USAGE;
 	}
 	if (!g_file_get_contents(argv[1], &bytes, &length_bytes, &error)) {
