--- a/core/src/flow_director_state.h
+++ b/core/src/flow_director_state.h
@@ -88,6 +88,8 @@
 struct pool_history *flow_director_history(const struct flow_director *director,
 					   uint32_t service_id);
 void flow_director_start_pass(struct flow_director *director);
+void flow_director_send_pools(struct flow_director *director, int64_t now_ms);
+void flow_director_announce(struct flow_director *director, int64_t now_ms);
 void flow_director_resend_pools(struct flow_director *director, int64_t now_ms);
 void flow_director_count(struct flow_director *director,
 			 struct flow_record *record, uint16_t target_index);
