--- /dev/null
+++ b/core/include/core/relay_director.h
@@ -0,0 +1,58 @@
+#ifndef CORE_RELAY_DIRECTOR_H
+#define CORE_RELAY_DIRECTOR_H
+
+#include <core/relay_loads.h>
+#include <core/relay_packet.h>
+#include <core/relay_route_table.h>
+#include <core/relay_verdict.h>
+
+/*
+ * Decides for a node whose packets bring back their target's tag: where new
+ * flows go, to whom the other packets belong, and which targets answer.
+ */
+struct relay_director;
+
+/*
+ * forward_again sends the opening packet of a flow once more; the bytes are
+ * valid during the call. flow_moved tells that a flow of another node has come
+ * here. health_changed tells that a target, or with target_id 0 a whole zone,
+ * is avoided from now on.
+ */
+struct relay_effects {
+	void *context;
+	void (*forward_again)(void *context,
+			      const struct relay_verdict *verdict,
+			      const uint8_t *bytes, uint32_t length_bytes);
+	void (*flow_moved)(void *context, struct flow_print print);
+	void (*health_changed)(void *context, uint64_t target_id,
+			       uint32_t zone_id);
+};
+
+struct relay_director_options {
+	uint32_t zone_id;
+	uint32_t flow_capacity;
+	uint64_t seed;
+	struct relay_effects effects;
+};
+
+struct relay_director *
+relay_director_new(const struct relay_director_options *options);
+void relay_director_free(struct relay_director *director);
+struct relay_verdict relay_director_packet(struct relay_director *director,
+					   const struct relay_packet *packet,
+					   const uint8_t *bytes,
+					   uint32_t length_bytes,
+					   int64_t now_ms);
+int64_t relay_director_tick(struct relay_director *director, int64_t now_ms);
+bool relay_director_set_routes(struct relay_director *director,
+			       struct relay_route_table *routes);
+uint64_t relay_director_version(const struct relay_director *director);
+void relay_director_flow_moved(struct relay_director *director,
+			       struct flow_print print);
+struct relay_directory *
+relay_director_directory(struct relay_director *director);
+struct relay_loads *relay_director_loads(struct relay_director *director);
+bool relay_director_is_ready(const struct relay_director *director);
+uint32_t relay_director_flow_count(const struct relay_director *director);
+
+#endif
--- /dev/null
+++ b/core/include/core/relay_directory.h
@@ -0,0 +1,32 @@
+#ifndef CORE_RELAY_DIRECTORY_H
+#define CORE_RELAY_DIRECTORY_H
+
+#include <core/relay_target.h>
+#include <glib.h>
+
+/*
+ * All targets that this node knows, by tag and by service, those that leave
+ * or have just gone included. Pointers stay valid until the next sweep.
+ */
+struct relay_directory;
+
+struct relay_directory *relay_directory_new(void);
+void relay_directory_free(struct relay_directory *directory);
+bool relay_directory_put(struct relay_directory *directory,
+			 const struct target *target, uint32_t warmup_ms,
+			 int64_t now_ms);
+void relay_directory_remove(struct relay_directory *directory,
+			    uint64_t target_id, int64_t now_ms);
+void relay_directory_remove_others(struct relay_directory *directory,
+				   const GArray *target_ids, int64_t now_ms);
+struct relay_target *relay_directory_find(struct relay_directory *directory,
+					  uint32_t tag);
+const GPtrArray *relay_directory_service(struct relay_directory *directory,
+					 uint32_t service_id);
+void relay_directory_sweep(struct relay_directory *directory, int64_t now_ms);
+uint32_t relay_directory_count(const struct relay_directory *directory);
+void relay_directory_each(struct relay_directory *directory, void *context,
+			  void (*visit)(void *context,
+					struct relay_target *known));
+
+#endif
--- /dev/null
+++ b/core/include/core/relay_flow_table.h
@@ -0,0 +1,39 @@
+#ifndef CORE_RELAY_FLOW_TABLE_H
+#define CORE_RELAY_FLOW_TABLE_H
+
+#include <core/relay_flow.h>
+
+/*
+ * The flows that this node remembers, bounded: when it is full the one that
+ * was used longest ago makes room.
+ */
+struct relay_flow_table;
+
+struct relay_flow_table *relay_flow_table_new(uint32_t capacity);
+void relay_flow_table_free(struct relay_flow_table *table);
+struct relay_flow *relay_flow_table_find(struct relay_flow_table *table,
+					 struct flow_print print);
+bool relay_flow_table_is_full(const struct relay_flow_table *table);
+struct relay_flow *relay_flow_table_add(struct relay_flow_table *table,
+					struct flow_print print,
+					int64_t now_ms);
+void relay_flow_table_remove(struct relay_flow_table *table,
+			     struct relay_flow *flow);
+void relay_flow_table_use(struct relay_flow_table *table,
+			  struct relay_flow *flow, int64_t now_ms);
+void relay_flow_table_sent(struct relay_flow_table *table,
+			   struct relay_flow *flow, int64_t now_ms);
+void relay_flow_table_settle(struct relay_flow_table *table,
+			     struct relay_flow *flow,
+			     enum relay_flow_state state);
+void relay_flow_table_set_counted(struct relay_flow_table *table,
+				  struct relay_flow *flow, bool is_counted);
+struct relay_flow *relay_flow_table_oldest(struct relay_flow_table *table);
+struct relay_flow *
+relay_flow_table_oldest_counted(struct relay_flow_table *table);
+struct relay_flow *relay_flow_table_oldest_idle(struct relay_flow_table *table);
+struct relay_flow *
+relay_flow_table_oldest_opening(struct relay_flow_table *table);
+uint32_t relay_flow_table_count(const struct relay_flow_table *table);
+
+#endif
--- /dev/null
+++ b/core/include/core/relay_message.h
@@ -0,0 +1,28 @@
+#ifndef CORE_RELAY_MESSAGE_H
+#define CORE_RELAY_MESSAGE_H
+
+#include <core/flow_key.h>
+#include <core/relay_loads.h>
+
+#define RELAY_MESSAGE_LOAD_COUNT_MAX 160
+#define RELAY_MESSAGE_FLOW_COUNT_MAX 80
+
+enum relay_message_kind {
+	/* The sender's open flows at each target, in place of its last word. */
+	RELAY_MESSAGE_LOADS,
+	/* Flows that the sender carries from now on. */
+	RELAY_MESSAGE_MOVED,
+	RELAY_MESSAGE_KIND_COUNT,
+};
+
+/* A message between nodes that forward by tag. */
+struct relay_message {
+	enum relay_message_kind kind;
+	uint64_t node_id;
+	uint32_t load_count;
+	uint32_t flow_count;
+	struct relay_load loads[RELAY_MESSAGE_LOAD_COUNT_MAX];
+	struct flow_print flows[RELAY_MESSAGE_FLOW_COUNT_MAX];
+};
+
+#endif
--- /dev/null
+++ b/core/include/core/relay_peer.h
@@ -0,0 +1,15 @@
+#ifndef CORE_RELAY_PEER_H
+#define CORE_RELAY_PEER_H
+
+#include <core/endpoint.h>
+
+/* Another node, as it entered itself in the store; the id hashes its name. */
+struct relay_peer {
+	uint64_t node_id;
+	uint32_t zone_id;
+	struct endpoint endpoint;
+};
+
+uint64_t relay_peer_id_from_name(const char *name);
+
+#endif
--- /dev/null
+++ b/core/include/core/relay_round_trip.h
@@ -0,0 +1,18 @@
+#ifndef CORE_RELAY_ROUND_TRIP_H
+#define CORE_RELAY_ROUND_TRIP_H
+
+#include <stdint.h>
+
+/*
+ * How long an opening packet takes to be answered, from when it leaves this
+ * node to when the caller's next packet is here: the estimator of RFC 6298.
+ */
+struct relay_round_trip {
+	uint32_t smoothed_us;
+	uint32_t variation_us;
+};
+
+void relay_round_trip_add(struct relay_round_trip *trip, uint32_t sample_ms);
+uint32_t relay_round_trip_timeout_ms(const struct relay_round_trip *trip);
+
+#endif
--- /dev/null
+++ b/core/include/core/relay_route_table.h
@@ -0,0 +1,25 @@
+#ifndef CORE_RELAY_ROUTE_TABLE_H
+#define CORE_RELAY_ROUTE_TABLE_H
+
+#include <core/relay_route.h>
+
+/*
+ * The routes of one version of the configuration. A later version has a
+ * higher number. Flows that idle longer than idle_timeout_ms may be forgotten.
+ */
+struct relay_route_table;
+
+struct relay_route_table *relay_route_table_new(uint64_t version,
+						uint32_t idle_timeout_ms);
+void relay_route_table_free(struct relay_route_table *table);
+bool relay_route_table_add(struct relay_route_table *table,
+			   const struct relay_route *route);
+const struct relay_route *
+relay_route_table_find(const struct relay_route_table *table,
+		       const struct endpoint *address);
+uint64_t relay_route_table_version(const struct relay_route_table *table);
+uint32_t
+relay_route_table_idle_timeout_ms(const struct relay_route_table *table);
+uint32_t relay_route_table_count(const struct relay_route_table *table);
+
+#endif
--- /dev/null
+++ b/core/include/core/relay_verdict.h
@@ -0,0 +1,29 @@
+#ifndef CORE_RELAY_VERDICT_H
+#define CORE_RELAY_VERDICT_H
+
+#include <core/endpoint.h>
+#include <core/reason.h>
+
+enum relay_action {
+	RELAY_FORWARD,
+	RELAY_RESET,
+	RELAY_DROP,
+};
+
+/*
+ * What becomes of a packet. Where it is forwarded, target_id and endpoint say
+ * to whom and tag is what goes into the packet. is_new_decision: not just the
+ * next packet of a flow whose target is settled.
+ */
+struct relay_verdict {
+	enum relay_action action;
+	enum reason reason;
+	uint64_t target_id;
+	struct endpoint endpoint;
+	uint32_t tag;
+	uint32_t cost_milli;
+	uint8_t try_count;
+	bool is_new_decision;
+};
+
+#endif
--- a/core/src/reason.c
+++ b/core/src/reason.c
@@ -43,6 +43,11 @@
 	[REASON_STALE_VIEW] = "stale_view",
 	[REASON_TARGET_CUT_OFF] = "target_cut_off",
 	[REASON_DEFAULT_BUSY] = "default_busy",
+	[REASON_TAG] = "tag",
+	[REASON_TAG_UNKNOWN] = "tag_unknown",
+	[REASON_LEAST_LOADED] = "least_loaded",
+	[REASON_UNANSWERED] = "unanswered",
+	[REASON_NOT_READY] = "not_ready",
 };
 
 /* Names a reason for decision log lines and counters. */
--- /dev/null
+++ b/core/src/relay/relay_director_state.h
@@ -0,0 +1,37 @@
+#ifndef RELAY_DIRECTOR_STATE_H
+#define RELAY_DIRECTOR_STATE_H
+
+#include <core/relay_director.h>
+#include <core/relay_flow_table.h>
+#include <core/relay_round_trip.h>
+#include <core/relay_zone_health.h>
+
+struct relay_director {
+	struct relay_director_options options;
+	struct relay_directory *directory;
+	struct relay_loads *loads;
+	struct relay_route_table *routes;
+	struct relay_flow_table *flows;
+	struct relay_zone_health *zones;
+	struct relay_round_trip round_trip;
+	GRand *random;
+	int64_t now_ms;
+	int64_t swept_ms;
+};
+
+struct relay_verdict relay_opening_packet(struct relay_director *director,
+					  const struct relay_packet *packet,
+					  const uint8_t *bytes,
+					  uint32_t length_bytes,
+					  int64_t now_ms);
+void relay_opening_answered(struct relay_director *director,
+			    struct relay_flow *flow, int64_t now_ms);
+int64_t relay_opening_retry(struct relay_director *director, int64_t now_ms);
+void relay_opening_count(struct relay_director *director,
+			 struct relay_flow *flow);
+void relay_opening_uncount(struct relay_director *director,
+			   struct relay_flow *flow);
+struct relay_verdict relay_verdict_forward(const struct relay_target *known,
+					   enum reason reason);
+
+#endif
--- /dev/null
+++ b/core/src/relay/relay_zone_health.c
@@ -0,0 +1,97 @@
+#include <core/relay_zone_health.h>
+
+#include <glib.h>
+
+/*
+ * Two different targets in a row are a zone's silence; one may be its own. A
+ * cut lasts seconds, so a trial each half second costs little.
+ */
+static const struct relay_health_limits limits = {
+	.unanswered_count = 2,
+	.avoid_ms = 500,
+	.avoid_max_ms = 500,
+};
+
+struct zone_record {
+	uint32_t zone_id;
+	uint32_t last_silent_tag;
+	struct relay_health health;
+};
+
+struct relay_zone_health {
+	struct zone_record records[RELAY_ZONE_COUNT_MAX];
+	uint32_t record_count;
+};
+
+/* Makes a record of no zones; free it with relay_zone_health_free. */
+struct relay_zone_health *relay_zone_health_new(void)
+{
+	return g_new0(struct relay_zone_health, 1);
+}
+
+/* Frees it; NULL is allowed. */
+void relay_zone_health_free(struct relay_zone_health *zones)
+{
+	g_free(zones);
+}
+
+static const struct zone_record *find(const struct relay_zone_health *zones,
+				      uint32_t zone_id)
+{
+	for (uint32_t i = 0; i < zones->record_count; i++) {
+		if (zones->records[i].zone_id == zone_id)
+			return &zones->records[i];
+	}
+	return NULL;
+}
+
+/* Returns NULL beyond the limit of zones, which are then never avoided. */
+static struct zone_record *find_or_add(struct relay_zone_health *zones,
+				       uint32_t zone_id)
+{
+	const struct zone_record *found = find(zones, zone_id);
+	struct zone_record *record;
+
+	if (found)
+		return &zones->records[found - zones->records];
+	if (zones->record_count == RELAY_ZONE_COUNT_MAX)
+		return NULL;
+	record = &zones->records[zones->record_count++];
+	record->zone_id = zone_id;
+	return record;
+}
+
+/* Notes that a target of the zone has answered. */
+void relay_zone_health_answered(struct relay_zone_health *zones,
+				uint32_t zone_id, int64_t now_ms)
+{
+	struct zone_record *record = find_or_add(zones, zone_id);
+
+	if (!record)
+		return;
+	record->last_silent_tag = 0;
+	relay_health_answered(&record->health, now_ms);
+}
+
+/* Notes a silent target; returns true when the zone is avoided from now on. */
+bool relay_zone_health_unanswered(struct relay_zone_health *zones,
+				  uint32_t zone_id, uint32_t tag,
+				  int64_t sent_ms, int64_t now_ms)
+{
+	struct zone_record *record = find_or_add(zones, zone_id);
+
+	if (!record || record->last_silent_tag == tag)
+		return false;
+	record->last_silent_tag = tag;
+	return relay_health_unanswered(&record->health, &limits, sent_ms,
+				       now_ms);
+}
+
+/* Tells whether new flows should go to other zones. */
+bool relay_zone_health_is_avoided(const struct relay_zone_health *zones,
+				  uint32_t zone_id, int64_t now_ms)
+{
+	const struct zone_record *record = find(zones, zone_id);
+
+	return record && relay_health_is_avoided(&record->health, now_ms);
+}
--- /dev/null
+++ b/daemon/include/daemon/feed_task.h
@@ -0,0 +1,23 @@
+#ifndef DAEMON_FEED_TASK_H
+#define DAEMON_FEED_TASK_H
+
+#include <daemon/settings.h>
+#include <task/task.h>
+
+/*
+ * Follows the store, directly or through another node, serves a copy of it to
+ * other nodes, and posts a news_message for each change to the sink.
+ */
+struct feed_task;
+
+struct feed_task_options {
+	const struct settings *settings;
+	struct task *sink;
+};
+
+struct feed_task *feed_task_new(const struct feed_task_options *options,
+				GError **error);
+void feed_task_free(struct feed_task *feed);
+struct task *feed_task_task(struct feed_task *feed);
+
+#endif
--- /dev/null
+++ b/daemon/include/daemon/relay_task.h
@@ -0,0 +1,20 @@
+#ifndef DAEMON_RELAY_TASK_H
+#define DAEMON_RELAY_TASK_H
+
+#include <daemon/settings.h>
+#include <task/task.h>
+
+/*
+ * The packet front end of a node that forwards by tag. It owns the packet
+ * socket and the socket to other nodes, takes news_message, and tells the
+ * admin task whether it is ready.
+ */
+struct relay_task;
+
+struct relay_task *relay_task_new(const struct settings *settings,
+				  GError **error);
+void relay_task_free(struct relay_task *relay);
+void relay_task_set_admin(struct relay_task *relay, struct task *admin);
+struct task *relay_task_task(struct relay_task *relay);
+
+#endif
--- a/daemon/include/daemon/settings.h
+++ b/daemon/include/daemon/settings.h
@@ -2,6 +2,7 @@
 #define DAEMON_SETTINGS_H
 
 #include <daemon/platform_settings.h>
+#include <daemon/relay_settings.h>
 #include <daemon/request_settings.h>
 
 /* The settings of one shallotd, read from YAML; see docs/OPERATORS.md. */
@@ -13,6 +14,7 @@
 	struct endpoint listen_control;
 	struct endpoint listen_requests;
 	struct endpoint listen_admin;
+	struct endpoint listen_metrics;
 	char *rules_file;
 	uint32_t log_level;
 	uint32_t log_rate_per_s;
@@ -25,6 +27,7 @@
 	uint32_t members_bytes_per_s;
 	struct request_settings requests;
 	struct platform_settings platform;
+	struct relay_settings relay;
 };
 
 struct settings *settings_read(const char *path, GError **error);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -189,7 +189,7 @@
 		.task = "main",
 		.level = (enum log_level)settings->log_level,
 		.rate_per_s = LOG_RATE_PER_S,
-		.fd = STDERR_FILENO,
+		.fd = STDOUT_FILENO,
 	};
 	struct process process = {
 		.settings_path = path,
--- a/daemon/src/admin_task.c
+++ b/daemon/src/admin_task.c
@@ -128,11 +128,24 @@
 		reply_text(request, STATUS_UNAVAILABLE, "not ready\n");
 }
 
+static bool listen_on(struct admin_task *admin, const struct endpoint *listen,
+		      GError **error)
+{
+	char address[IP_ADDR_TEXT_BYTES];
+
+	ip_addr_format(&listen->addr, address);
+	if (evhttp_bind_socket(admin->http, address, listen->port) == 0)
+		return true;
+	g_set_error(error, DAEMON_ERROR, DAEMON_ERROR_START,
+		    "cannot listen for admin on %s port %u", address,
+		    listen->port);
+	return false;
+}
+
 static bool start(void *context, struct task *task, GError **error)
 {
 	struct admin_task *admin = context;
-	const struct endpoint *listen = &admin->options.settings->listen_admin;
-	char address[IP_ADDR_TEXT_BYTES];
+	const struct settings *settings = admin->options.settings;
 
 	admin->http = evhttp_new(task_base(task));
 	evhttp_set_allowed_methods(admin->http, EVHTTP_REQ_GET);
@@ -142,12 +155,10 @@
 	evhttp_set_cb(admin->http, "/metrics", on_metrics, admin);
 	evhttp_set_cb(admin->http, "/healthz", on_healthz, admin);
 	evhttp_set_cb(admin->http, "/readyz", on_readyz, admin);
-	ip_addr_format(&listen->addr, address);
-	if (evhttp_bind_socket(admin->http, address, listen->port) == 0)
+	if (listen_on(admin, &settings->listen_admin, error) &&
+	    (settings->listen_metrics.port == 0 ||
+	     listen_on(admin, &settings->listen_metrics, error)))
 		return true;
-	g_set_error(error, DAEMON_ERROR, DAEMON_ERROR_START,
-		    "cannot listen for admin on %s port %u", address,
-		    listen->port);
 	evhttp_free(admin->http);
 	admin->http = NULL;
 	return false;
--- a/daemon/src/claims_task.c
+++ b/daemon/src/claims_task.c
@@ -257,7 +257,7 @@
 		.task = "claims",
 		.level = (enum log_level)claims->options.settings->log_level,
 		.rate_per_s = claims->options.settings->log_rate_per_s,
-		.fd = STDERR_FILENO,
+		.fd = STDOUT_FILENO,
 	};
 
 	claims->claims = claim_director_new(&director);
--- a/daemon/src/config_store.c
+++ b/daemon/src/config_store.c
@@ -7,6 +7,9 @@
 /* A watch that is silent for so long is opened anew. */
 #define WATCH_TIMEOUT_MS 60000
 
+/* The store holds a waiting call for at most 30 s. */
+#define WATCH_WAIT_MS 30000
+
 /* last is what the newest answer held, with its modification revision. */
 struct config_store {
 	struct config_store_options options;
@@ -89,6 +92,8 @@
 		.client = store->options.client,
 		.key = store->options.key,
 		.start_revision = store->store_revision + 1,
+		.first_wait_ms = WATCH_WAIT_MS,
+		.wait_ms = WATCH_WAIT_MS,
 		.timeout_ms = WATCH_TIMEOUT_MS,
 		.context = store,
 		.on_events = on_events,
--- a/daemon/src/config_task.c
+++ b/daemon/src/config_task.c
@@ -376,7 +376,7 @@
 		.task = "config",
 		.level = (enum log_level)options->settings->log_level,
 		.rate_per_s = options->settings->log_rate_per_s,
-		.fd = STDERR_FILENO,
+		.fd = STDOUT_FILENO,
 	};
 
 	config->options = *options;
--- a/daemon/src/control_family.c
+++ b/daemon/src/control_family.c
@@ -7,8 +7,8 @@
 			     1024, true, false},
 	[CONTROL_CLAIMS] = {PROCEDURE_CLAIMS_FIRST, PROCEDURE_CONFIG_FIRST,
 			    1024, false, false},
-	[CONTROL_CONFIG] = {PROCEDURE_CONFIG_FIRST, PROCEDURE_COUNT, 512, true,
-			    true},
+	[CONTROL_CONFIG] = {PROCEDURE_CONFIG_FIRST, PROCEDURE_RELAY_FIRST, 512,
+			    true, true},
 	[CONTROL_FLOWS] = {PROCEDURE_FLOWS_FIRST, PROCEDURE_CLAIMS_FIRST, 4096,
 			   true, true},
 };
--- a/daemon/src/control_task.c
+++ b/daemon/src/control_task.c
@@ -310,7 +310,7 @@
 		.task = "control",
 		.level = (enum log_level)settings->log_level,
 		.rate_per_s = settings->log_rate_per_s,
-		.fd = STDERR_FILENO,
+		.fd = STDOUT_FILENO,
 	};
 
 	control->settings = settings;
--- a/daemon/src/packet_task.c
+++ b/daemon/src/packet_task.c
@@ -385,7 +385,7 @@
 		.task = "packets",
 		.level = (enum log_level)settings->log_level,
 		.rate_per_s = settings->log_rate_per_s,
-		.fd = STDERR_FILENO,
+		.fd = STDOUT_FILENO,
 	};
 
 	packets->settings = settings;
--- /dev/null
+++ b/daemon/src/relay/feed_counters.c
@@ -0,0 +1,32 @@
+#include "feed_counters.h"
+
+static const struct counter_row rows[FEED_COUNTER_COUNT] = {
+	[FEED_STORE_CALLS] = {"shallot_feed_store_calls_total",
+			      "calls to the store", COUNTER_TOTAL},
+	[FEED_WHOLE_READS] = {"shallot_feed_whole_reads_total",
+			      "readings of all that the store holds",
+			      COUNTER_TOTAL},
+	[FEED_CHANGES] = {"shallot_feed_changes_total",
+			  "changed entries that were told", COUNTER_TOTAL},
+	[FEED_LOST] = {"shallot_feed_lost_total",
+		       "times that the store or the node read from failed",
+		       COUNTER_TOTAL},
+	[FEED_NOT_POSTED] = {"shallot_feed_not_posted_total",
+			     "changes that the packet task had no room for",
+			     COUNTER_TOTAL},
+	[FEED_IS_LIVE] = {"shallot_feed_live",
+			  "1 while a watch on the store or a node stands",
+			  COUNTER_GAUGE},
+	[FEED_IS_DIRECT] = {"shallot_feed_direct",
+			    "1 while this node reads the store itself",
+			    COUNTER_GAUGE},
+	[FEED_REVISION] = {"shallot_feed_revision",
+			   "revision of the store that is known",
+			   COUNTER_GAUGE},
+};
+
+/* Makes the counters; free them with counter_set_free. */
+struct counter_set *feed_counters_new(void)
+{
+	return counter_set_new(rows, FEED_COUNTER_COUNT);
+}
--- /dev/null
+++ b/daemon/src/relay/feed_counters.h
@@ -0,0 +1,21 @@
+#ifndef FEED_COUNTERS_H
+#define FEED_COUNTERS_H
+
+#include <task/counter_set.h>
+
+/* Rows of the counters of the feed task. */
+enum feed_counter {
+	FEED_STORE_CALLS,
+	FEED_WHOLE_READS,
+	FEED_CHANGES,
+	FEED_LOST,
+	FEED_NOT_POSTED,
+	FEED_IS_LIVE,
+	FEED_IS_DIRECT,
+	FEED_REVISION,
+	FEED_COUNTER_COUNT,
+};
+
+struct counter_set *feed_counters_new(void);
+
+#endif
--- /dev/null
+++ b/daemon/src/relay/feed_reader.c
@@ -0,0 +1,138 @@
+#include "feed_reader.h"
+
+#include <platform/kv_watch.h>
+
+/* The empty prefix: all that the store holds. */
+#define ALL_KEYS ""
+
+/*
+ * How a kind of source is read. The store is asked seldom, as each call costs;
+ * a node answers every second, so that one that stops is left within two. A
+ * read takes milliseconds; a store that is slower is still read.
+ */
+static const struct {
+	uint32_t read_timeout_ms;
+	uint32_t wait_ms;
+	uint32_t watch_timeout_ms;
+	uint32_t pause_ms;
+} timings[] = {
+	[RELAY_SOURCE_STORE] = {2000, 10000, 12000, 40},
+	[RELAY_SOURCE_PEER] = {500, 1000, 1500, 0},
+};
+
+/* Enough to tell a source that answers from one that does not. */
+#define FIRST_WAIT_MS 1
+
+struct feed_reader {
+	struct feed_reader_options options;
+	struct kv_client *client;
+	struct kv_watch *watch;
+};
+
+static void on_watch_ended(void *context, bool is_compacted)
+{
+	struct feed_reader *reader = context;
+
+	reader->options.on_ended(reader->options.context, is_compacted);
+}
+
+static void on_watch_events(void *context, const struct kv_reply *reply)
+{
+	struct feed_reader *reader = context;
+
+	reader->options.on_changes(reader->options.context, reply);
+}
+
+static void on_watch_answer(void *context)
+{
+	struct feed_reader *reader = context;
+
+	reader->options.on_answer(reader->options.context);
+}
+
+static bool open_watch(struct feed_reader *reader, int64_t revision,
+		       uint32_t first_wait_ms, GError **error)
+{
+	enum relay_source_kind kind = reader->options.source.kind;
+	struct kv_watch_options options = {
+		.client = reader->client,
+		.key = ALL_KEYS,
+		.is_prefix = true,
+		.start_revision = revision + 1,
+		.first_wait_ms = first_wait_ms,
+		.wait_ms = timings[kind].wait_ms,
+		.pause_ms = timings[kind].pause_ms,
+		.timeout_ms = timings[kind].watch_timeout_ms,
+		.context = reader,
+		.on_answer = on_watch_answer,
+		.on_events = on_watch_events,
+		.on_ended = on_watch_ended,
+	};
+
+	reader->watch = kv_watch_new(&options, error);
+	return reader->watch != NULL;
+}
+
+static void on_read(void *context, enum kv_outcome outcome,
+		    const struct kv_reply *reply, const GError *error)
+{
+	struct feed_reader *reader = context;
+	uint32_t wait_ms = timings[reader->options.source.kind].wait_ms;
+
+	if (outcome != KV_DONE || reply->store_revision <= 0 ||
+	    !open_watch(reader, reply->store_revision, wait_ms, NULL)) {
+		reader->options.on_ended(reader->options.context, false);
+		return;
+	}
+	reader->options.on_whole(reader->options.context, reply);
+}
+
+static bool start(struct feed_reader *reader, GError **error)
+{
+	struct kv_callback callback = {reader, on_read};
+
+	if (reader->options.revision != 0)
+		return open_watch(reader, reader->options.revision,
+				  FIRST_WAIT_MS, error);
+	kv_client_range(reader->client, ALL_KEYS, true, &callback);
+	return true;
+}
+
+/*
+ * Starts reading. The caller frees the reader, also from on_ended. Fails with
+ * PLATFORM_ERROR.
+ */
+struct feed_reader *feed_reader_new(const struct feed_reader_options *options,
+				    GError **error)
+{
+	struct feed_reader *reader = g_new0(struct feed_reader, 1);
+	bool is_store = options->source.kind == RELAY_SOURCE_STORE;
+	struct kv_client_options client = {
+		.base = options->base,
+		.server = is_store ? options->store : options->source.endpoint,
+		.timeout_ms = timings[options->source.kind].read_timeout_ms,
+	};
+
+	reader->options = *options;
+	reader->client = kv_client_new(&client, error);
+	if (reader->client && start(reader, error))
+		return reader;
+	feed_reader_free(reader);
+	return NULL;
+}
+
+/* Stops reading and frees the reader; NULL is allowed. */
+void feed_reader_free(struct feed_reader *reader)
+{
+	if (!reader)
+		return;
+	kv_watch_free(reader->watch);
+	kv_client_free(reader->client);
+	g_free(reader);
+}
+
+/* Returns how many calls the reader has made. */
+uint64_t feed_reader_call_count(const struct feed_reader *reader)
+{
+	return kv_client_call_count(reader->client);
+}
--- /dev/null
+++ b/daemon/src/relay/node_entry.h
@@ -0,0 +1,21 @@
+#ifndef NODE_ENTRY_H
+#define NODE_ENTRY_H
+
+#include <daemon/settings.h>
+#include <platform/kv_client.h>
+#include <platform/kv_mirror.h>
+#include <task/log.h>
+
+/*
+ * Keeps this node's own entry in the store, on a lease, so that other nodes
+ * find it. It writes only where the entry is missing or another.
+ */
+struct node_entry;
+
+struct node_entry *node_entry_new(const struct settings *settings,
+				  struct kv_client *client, struct log *log);
+void node_entry_free(struct node_entry *entry);
+void node_entry_tick(struct node_entry *entry, const struct kv_mirror *mirror,
+		     int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/daemon/src/relay/relay_counters.c
@@ -0,0 +1,98 @@
+#include "relay_counters.h"
+
+static const struct counter_row fixed_rows[RELAY_REASONS] = {
+	[RELAY_PACKETS] = {"shallot_relay_packets_total",
+			   "packets received from callers", COUNTER_TOTAL},
+	[RELAY_NOT_SENT] = {"shallot_relay_not_sent_total",
+			    "packets that the kernel did not take",
+			    COUNTER_TOTAL},
+	[RELAY_FLOWS] = {"shallot_relay_flows", "flows remembered",
+			 COUNTER_GAUGE},
+	[RELAY_TARGETS] = {"shallot_relay_targets",
+			   "targets known, those just gone included",
+			   COUNTER_GAUGE},
+	[RELAY_VERSION] = {"shallot_relay_config_version",
+			   "version of the configuration in force",
+			   COUNTER_GAUGE},
+	[RELAY_AVOIDED] = {"shallot_relay_avoided_total",
+			   "times that a target or zone was avoided",
+			   COUNTER_TOTAL},
+	[RELAY_PEERS] = {"shallot_relay_peers", "other nodes known",
+			 COUNTER_GAUGE},
+	[RELAY_PEER_SENT] = {"shallot_relay_peer_sent_total",
+			     "messages sent to other nodes", COUNTER_TOTAL},
+	[RELAY_PEER_RECEIVED] = {"shallot_relay_peer_received_total",
+				 "messages received from other nodes",
+				 COUNTER_TOTAL},
+	[RELAY_PEER_STRAY] = {"shallot_relay_peer_stray_total",
+			      "messages from addresses of no known node",
+			      COUNTER_TOTAL},
+	[RELAY_PEER_MALFORMED] = {"shallot_relay_peer_malformed_total",
+				  "messages that could not be read",
+				  COUNTER_TOTAL},
+};
+
+static const char *const action_names[RELAY_ACTION_COUNT] = {
+	[RELAY_FORWARD] = "forward",
+	[RELAY_RESET] = "reset",
+	[RELAY_DROP] = "drop",
+};
+
+struct relay_counters {
+	struct counter_set *set;
+	struct counter_row rows[RELAY_COUNTER_COUNT];
+	char *names[RELAY_ACTION_COUNT * REASON_COUNT];
+};
+
+static void name_rows(struct relay_counters *counters)
+{
+	for (uint32_t i = 0; i < RELAY_ACTION_COUNT * REASON_COUNT; i++) {
+		counters->names[i] = g_strdup_printf(
+			"shallot_relay_decisions_total{action=\"%s\","
+			"reason=\"%s\"}",
+			action_names[i / REASON_COUNT],
+			reason_name((enum reason)(i % REASON_COUNT)));
+		counters->rows[RELAY_REASONS + i] = (struct counter_row){
+			counters->names[i], "packets by decision",
+			COUNTER_TOTAL};
+	}
+}
+
+/* Makes the counters; free them with relay_counters_free. */
+struct relay_counters *relay_counters_new(void)
+{
+	struct relay_counters *counters = g_new0(struct relay_counters, 1);
+
+	for (uint32_t i = 0; i < RELAY_REASONS; i++)
+		counters->rows[i] = fixed_rows[i];
+	name_rows(counters);
+	counters->set = counter_set_new(counters->rows, RELAY_COUNTER_COUNT);
+	return counters;
+}
+
+/* Frees the counters; NULL is allowed. */
+void relay_counters_free(struct relay_counters *counters)
+{
+	if (!counters)
+		return;
+	counter_set_free(counters->set);
+	for (uint32_t i = 0; i < RELAY_ACTION_COUNT * REASON_COUNT; i++)
+		g_free(counters->names[i]);
+	g_free(counters);
+}
+
+/* Returns the set, to change and to render. */
+struct counter_set *relay_counters_set(struct relay_counters *counters)
+{
+	return counters->set;
+}
+
+/* Counts a decision by action and reason. */
+void relay_counters_verdict(struct relay_counters *counters,
+			    const struct relay_verdict *verdict)
+{
+	counter_set_add(counters->set,
+			RELAY_REASONS + verdict->action * REASON_COUNT +
+				verdict->reason,
+			1);
+}
--- /dev/null
+++ b/daemon/src/relay/relay_counters.h
@@ -0,0 +1,36 @@
+#ifndef RELAY_COUNTERS_H
+#define RELAY_COUNTERS_H
+
+#include <core/reason.h>
+#include <core/relay_verdict.h>
+#include <task/counter_set.h>
+
+#define RELAY_ACTION_COUNT (RELAY_DROP + 1)
+
+/* Rows of the counters; those per reason come in runs of REASON_COUNT. */
+enum relay_counter {
+	RELAY_PACKETS,
+	RELAY_NOT_SENT,
+	RELAY_FLOWS,
+	RELAY_TARGETS,
+	RELAY_VERSION,
+	RELAY_AVOIDED,
+	RELAY_PEERS,
+	RELAY_PEER_SENT,
+	RELAY_PEER_RECEIVED,
+	RELAY_PEER_STRAY,
+	RELAY_PEER_MALFORMED,
+	RELAY_REASONS,
+	RELAY_COUNTER_COUNT = RELAY_REASONS + RELAY_ACTION_COUNT * REASON_COUNT,
+};
+
+/* The counters of a relay task, with the names that they need. */
+struct relay_counters;
+
+struct relay_counters *relay_counters_new(void);
+void relay_counters_free(struct relay_counters *counters);
+struct counter_set *relay_counters_set(struct relay_counters *counters);
+void relay_counters_verdict(struct relay_counters *counters,
+			    const struct relay_verdict *verdict);
+
+#endif
--- /dev/null
+++ b/daemon/src/relay/relay_log.c
@@ -0,0 +1,86 @@
+#include "relay_log.h"
+
+#include <core/relay_tag.h>
+#include <inttypes.h>
+
+static const char *const action_names[] = {
+	[RELAY_FORWARD] = "forward",
+	[RELAY_RESET] = "reset",
+	[RELAY_DROP] = "drop",
+};
+
+/* One line for each decision on a flow; the flow is named by its addresses. */
+void relay_log_verdict(struct log *log, const struct relay_packet *packet,
+		       const struct relay_verdict *verdict,
+		       const struct relay_log_state *state)
+{
+	char caller[ENDPOINT_TEXT_BYTES];
+	char service[ENDPOINT_TEXT_BYTES];
+
+	log_write(log, LOG_LEVEL_INFO, "flow",
+		  "caller=%s service=%s action=%s reason=%s target=%" PRIx64
+		  " tag=%08" PRIx32 " try=%u cost_milli=%" PRIu32
+		  " version=%" PRIu64 " news_age_ms=%" PRId64,
+		  endpoint_format(&packet->caller, caller),
+		  endpoint_format(&packet->service, service),
+		  action_names[verdict->action], reason_name(verdict->reason),
+		  verdict->target_id,
+		  verdict->action == RELAY_FORWARD ? verdict->tag : packet->tag,
+		  verdict->try_count, verdict->cost_milli, state->version,
+		  state->news_age_ms);
+}
+
+/* One line for each change of a target. */
+void relay_log_target(struct log *log, const struct target_change *change,
+		      int64_t revision)
+{
+	char text[ENDPOINT_TEXT_BYTES];
+
+	if (change->is_gone) {
+		log_write(log, LOG_LEVEL_NOTICE, "target",
+			  "target=%" PRIx64 " state=gone revision=%" PRId64,
+			  change->target.target_id, revision);
+		return;
+	}
+	log_write(log, LOG_LEVEL_NOTICE, "target",
+		  "target=%" PRIx64 " tag=%08" PRIx32
+		  " state=%s address=%s service=%08" PRIx32 " zone=%08" PRIx32
+		  " slots=%" PRIu32 " warmup_ms=%" PRIu32
+		  " incarnation=%08" PRIx32 " revision=%" PRId64,
+		  change->target.target_id,
+		  relay_tag_of(change->target.target_id),
+		  target_state_name(change->target.state),
+		  endpoint_format(&change->target.endpoint, text),
+		  change->target.service_id, change->target.zone_id,
+		  change->target.slot_count, change->warmup_ms,
+		  change->target.incarnation, revision);
+}
+
+/* Two ids of one tag cannot be told apart in packets. */
+void relay_log_tag_taken(struct log *log, const struct target_change *change)
+{
+	log_write(log, LOG_LEVEL_ERROR, "tag_taken",
+		  "target=%" PRIx64 " tag=%08" PRIx32, change->target.target_id,
+		  relay_tag_of(change->target.target_id));
+}
+
+/* One line for each configuration that comes into force. */
+void relay_log_routes(struct log *log, const struct relay_route_table *routes,
+		      int64_t revision)
+{
+	log_write(log, LOG_LEVEL_NOTICE, "routes",
+		  "version=%" PRIu64 " routes=%" PRIu32
+		  " idle_timeout_ms=%" PRIu32 " revision=%" PRId64,
+		  relay_route_table_version(routes),
+		  relay_route_table_count(routes),
+		  relay_route_table_idle_timeout_ms(routes), revision);
+}
+
+/* A target, or with target_id 0 a zone, has stopped answering. */
+void relay_log_avoided(struct log *log, uint64_t target_id, uint32_t zone_id)
+{
+	log_write(log, LOG_LEVEL_NOTICE, "avoided",
+		  "target=%" PRIx64 " zone=%08" PRIx32
+		  " reason=opening_packets_unanswered",
+		  target_id, zone_id);
+}
--- /dev/null
+++ b/daemon/src/relay/relay_log.h
@@ -0,0 +1,26 @@
+#ifndef RELAY_LOG_H
+#define RELAY_LOG_H
+
+#include <core/relay_packet.h>
+#include <core/relay_route_table.h>
+#include <core/relay_verdict.h>
+#include <daemon/news_message.h>
+#include <task/log.h>
+
+/* What a decision went by besides the packet. */
+struct relay_log_state {
+	uint64_t version;
+	int64_t news_age_ms;
+};
+
+void relay_log_verdict(struct log *log, const struct relay_packet *packet,
+		       const struct relay_verdict *verdict,
+		       const struct relay_log_state *state);
+void relay_log_target(struct log *log, const struct target_change *change,
+		      int64_t revision);
+void relay_log_tag_taken(struct log *log, const struct target_change *change);
+void relay_log_routes(struct log *log, const struct relay_route_table *routes,
+		      int64_t revision);
+void relay_log_avoided(struct log *log, uint64_t target_id, uint32_t zone_id);
+
+#endif
--- /dev/null
+++ b/daemon/src/relay/relay_task.c
@@ -0,0 +1,420 @@
+#include <daemon/relay_task.h>
+
+#include "relay_counters.h"
+#include "relay_log.h"
+#include "relay_peers.h"
+
+#include <core/zone.h>
+#include <daemon/drain_message.h>
+#include <daemon/log_settings_message.h>
+#include <daemon/metrics_message.h>
+#include <daemon/news_message.h>
+#include <daemon/ready_message.h>
+#include <platform/echo_packet.h>
+#include <string.h>
+#include <task/timer.h>
+#include <task/udp_socket.h>
+#include <unistd.h>
+
+#define MAILBOX_CAPACITY 1024
+#define RECEIVE_BUFFER_BYTES (4 * 1024 * 1024)
+
+/* Reports and forgetting need no finer clock; second tries have their own. */
+#define TICK_MS 25
+
+/*
+ * The routers ask twice a second and leave a node after two refusals. The node
+ * goes on until no packet has come for a while after that.
+ */
+#define DRAIN_LEAST_MS 1500
+#define DRAIN_QUIET_MS 600
+
+struct relay_task {
+	struct task *task;
+	const struct settings *settings;
+	struct task *admin;
+	struct udp_socket *socket;
+	struct timer *tick_timer;
+	struct timer *retry_timer;
+	struct relay_director *director;
+	struct relay_peers *peers;
+	struct relay_counters *counters;
+	struct log *log;
+	struct task *drain_reply_to;
+	int64_t drain_ms;
+	int64_t packet_ms;
+	int64_t news_ms;
+	int64_t retry_ms;
+	bool is_ready;
+	uint8_t out[ECHO_TARGET_ID_BYTES + ECHO_PACKET_BYTES_MAX];
+};
+
+static struct counter_set *counters_of(struct relay_task *relay)
+{
+	return relay_counters_set(relay->counters);
+}
+
+static void send_out(struct relay_task *relay, const struct endpoint *to,
+		     const uint8_t *bytes, uint32_t length_bytes)
+{
+	if (!udp_socket_send(relay->socket, to, bytes, length_bytes))
+		counter_set_add(counters_of(relay), RELAY_NOT_SENT, 1);
+}
+
+static void forward(struct relay_task *relay,
+		    const struct relay_verdict *verdict, const uint8_t *bytes,
+		    uint32_t length_bytes)
+{
+	uint8_t *packet = relay->out + ECHO_TARGET_ID_BYTES;
+
+	echo_packet_write_target_id(relay->out, verdict->target_id);
+	memcpy(packet, bytes, length_bytes);
+	echo_packet_set_tag(packet, verdict->tag);
+	send_out(relay, &verdict->endpoint, relay->out,
+		 ECHO_TARGET_ID_BYTES + length_bytes);
+}
+
+/* Callers are reached on the port that the node itself listens on. */
+static void reset(struct relay_task *relay, const struct relay_packet *packet)
+{
+	uint8_t bytes[ECHO_PACKET_HEADER_BYTES];
+	struct endpoint to = {.addr = packet->caller.addr,
+			      .port = relay->settings->listen_packets.port};
+
+	echo_packet_write_reset(bytes, packet);
+	send_out(relay, &to, bytes, sizeof(bytes));
+}
+
+static struct relay_log_state log_state(const struct relay_task *relay,
+					int64_t now_ms)
+{
+	return (struct relay_log_state){
+		.version = relay_director_version(relay->director),
+		.news_age_ms = now_ms - relay->news_ms,
+	};
+}
+
+static void arm_retry(struct relay_task *relay, int64_t due_ms, int64_t now_ms)
+{
+	if (due_ms >= relay->retry_ms)
+		return;
+	relay->retry_ms = due_ms;
+	timer_once(relay->retry_timer, (uint32_t)MAX(due_ms - now_ms, 1));
+}
+
+static void on_packet(void *context, const struct endpoint *from,
+		      const uint8_t *bytes, uint32_t length_bytes)
+{
+	struct relay_task *relay = context;
+	int64_t now_ms = task_now_ms();
+	struct relay_packet packet;
+	struct relay_verdict verdict;
+
+	counter_set_add(counters_of(relay), RELAY_PACKETS, 1);
+	relay->packet_ms = now_ms;
+	if (!echo_packet_parse(&packet, bytes, length_bytes)) {
+		verdict = (struct relay_verdict){.action = RELAY_DROP,
+						 .reason = REASON_MALFORMED};
+		relay_counters_verdict(relay->counters, &verdict);
+		return;
+	}
+	verdict = relay_director_packet(relay->director, &packet, bytes,
+					length_bytes, now_ms);
+	relay_counters_verdict(relay->counters, &verdict);
+	if (verdict.is_new_decision) {
+		struct relay_log_state state = log_state(relay, now_ms);
+
+		relay_log_verdict(relay->log, &packet, &verdict, &state);
+	}
+	if (verdict.action == RELAY_FORWARD)
+		forward(relay, &verdict, bytes, length_bytes);
+	else if (verdict.action == RELAY_RESET)
+		reset(relay, &packet);
+	if (packet.is_opening)
+		arm_retry(relay, relay_director_tick(relay->director, now_ms),
+			  now_ms);
+}
+
+static void on_forward_again(void *context, const struct relay_verdict *verdict,
+			     const uint8_t *bytes, uint32_t length_bytes)
+{
+	struct relay_task *relay = context;
+	struct relay_log_state state = log_state(relay, task_now_ms());
+	struct relay_packet packet;
+
+	relay_counters_verdict(relay->counters, verdict);
+	if (echo_packet_parse(&packet, bytes, length_bytes))
+		relay_log_verdict(relay->log, &packet, verdict, &state);
+	forward(relay, verdict, bytes, length_bytes);
+}
+
+static void on_flow_moved(void *context, struct flow_print print)
+{
+	struct relay_task *relay = context;
+
+	relay_peers_flow_moved(relay->peers, print);
+}
+
+static void on_health_changed(void *context, uint64_t target_id,
+			      uint32_t zone_id)
+{
+	struct relay_task *relay = context;
+
+	counter_set_add(counters_of(relay), RELAY_AVOIDED, 1);
+	relay_log_avoided(relay->log, target_id, zone_id);
+}
+
+static void on_retry(void *context)
+{
+	struct relay_task *relay = context;
+	int64_t now_ms = task_now_ms();
+
+	relay->retry_ms = INT64_MAX;
+	arm_retry(relay, relay_director_tick(relay->director, now_ms), now_ms);
+}
+
+/* A node that has nothing to go by is left out by the routers. */
+static void report_ready(struct relay_task *relay)
+{
+	bool is_ready = relay_director_is_ready(relay->director);
+	struct message *message;
+
+	if (is_ready == relay->is_ready)
+		return;
+	message = ready_message_new(is_ready);
+	if (task_post(relay->admin, message) != POST_TAKEN) {
+		message_free(message);
+		return;
+	}
+	relay->is_ready = is_ready;
+	log_write(relay->log, LOG_LEVEL_NOTICE, "ready", "ready=%s",
+		  is_ready ? "yes" : "no");
+}
+
+static void answer_drain(struct relay_task *relay, int64_t now_ms)
+{
+	struct message *drained;
+
+	if (!relay->drain_reply_to ||
+	    now_ms - relay->drain_ms < DRAIN_LEAST_MS ||
+	    now_ms - relay->packet_ms < DRAIN_QUIET_MS)
+		return;
+	drained = drained_message_new(relay->task);
+	if (task_post(relay->drain_reply_to, drained) != POST_TAKEN)
+		message_free(drained);
+	relay->drain_reply_to = NULL;
+}
+
+static void on_tick(void *context)
+{
+	struct relay_task *relay = context;
+	int64_t now_ms = task_now_ms();
+
+	relay_director_tick(relay->director, now_ms);
+	relay_peers_tick(relay->peers, now_ms);
+	report_ready(relay);
+	answer_drain(relay, now_ms);
+}
+
+static bool start(void *context, struct task *task, GError **error)
+{
+	struct relay_task *relay = context;
+	struct udp_socket_options options = {
+		.listen = relay->settings->listen_packets,
+		.buffer_bytes = RECEIVE_BUFFER_BYTES,
+		.context = relay,
+		.receive = on_packet,
+	};
+	struct relay_peers_options peers = {
+		.settings = relay->settings,
+		.director = relay->director,
+		.counters = counters_of(relay),
+	};
+
+	relay->socket = udp_socket_new(task, &options, error);
+	if (!relay->socket)
+		return false;
+	relay->peers = relay_peers_new(task, &peers, error);
+	if (!relay->peers) {
+		udp_socket_free(relay->socket);
+		return false;
+	}
+	relay->tick_timer = timer_new(task, relay, on_tick);
+	relay->retry_timer = timer_new(task, relay, on_retry);
+	timer_every(relay->tick_timer, TICK_MS);
+	return true;
+}
+
+static void take_targets(struct relay_task *relay,
+			 const struct news_message *news, int64_t now_ms)
+{
+	struct relay_directory *directory =
+		relay_director_directory(relay->director);
+	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+
+	for (guint i = 0; i < news->changes->len; i++) {
+		const struct target_change *change =
+			&g_array_index(news->changes, struct target_change, i);
+
+		relay_log_target(relay->log, change, news->revision);
+		if (change->is_gone) {
+			relay_directory_remove(
+				directory, change->target.target_id, now_ms);
+			continue;
+		}
+		g_array_append_val(ids, change->target.target_id);
+		if (!relay_directory_put(directory, &change->target,
+					 change->warmup_ms, now_ms))
+			relay_log_tag_taken(relay->log, change);
+	}
+	if (news->is_whole)
+		relay_directory_remove_others(directory, ids, now_ms);
+	g_array_free(ids, TRUE);
+}
+
+static void take_news(struct relay_task *relay, struct message *message)
+{
+	struct news_message *news = (struct news_message *)message;
+	struct relay_route_table *routes = g_steal_pointer(&news->routes);
+	int64_t now_ms = task_now_ms();
+
+	relay->news_ms = now_ms;
+	take_targets(relay, news, now_ms);
+	if (news->peers)
+		relay_peers_set(relay->peers, news->peers);
+	if (routes && relay_director_set_routes(relay->director, routes))
+		relay_log_routes(relay->log, routes, news->revision);
+	report_ready(relay);
+}
+
+static void take_metrics(struct relay_task *relay, struct message *message)
+{
+	struct counter_set *counters = counters_of(relay);
+
+	counter_set_assign(counters, RELAY_FLOWS,
+			   relay_director_flow_count(relay->director));
+	counter_set_assign(counters, RELAY_TARGETS,
+			   relay_directory_count(
+				   relay_director_directory(relay->director)));
+	counter_set_assign(counters, RELAY_VERSION,
+			   relay_director_version(relay->director));
+	metrics_request_answer(message, counters);
+}
+
+static void take_drain(struct relay_task *relay, struct message *message)
+{
+	relay->drain_reply_to = ((struct drain_message *)message)->reply_to;
+	relay->drain_ms = task_now_ms();
+}
+
+static void take_log_settings(struct relay_task *relay, struct message *message)
+{
+	log_settings_message_apply((struct log_settings_message *)message,
+				   relay->log);
+}
+
+/* What each message does. */
+static const struct {
+	const struct message_type *type;
+	void (*take)(struct relay_task *relay, struct message *message);
+} takers[] = {
+	{&news_message_type, take_news},
+	{&metrics_request_type, take_metrics},
+	{&drain_message_type, take_drain},
+	{&log_settings_message_type, take_log_settings},
+};
+
+static void handle(void *context, struct message *message)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(takers); i++) {
+		if (takers[i].type == message->type)
+			takers[i].take(context, message);
+	}
+	message_free(message);
+}
+
+static void stop(void *context)
+{
+	struct relay_task *relay = context;
+
+	timer_free(relay->tick_timer);
+	timer_free(relay->retry_timer);
+	relay_peers_free(relay->peers);
+	udp_socket_free(relay->socket);
+}
+
+static struct relay_director *make_director(struct relay_task *relay)
+{
+	const struct settings *settings = relay->settings;
+	struct relay_director_options options = {
+		.zone_id = zone_id_from_name(settings->zone),
+		.flow_capacity = settings->flow_capacity,
+		.seed = settings->flow_seed,
+		.effects = {.context = relay,
+			    .forward_again = on_forward_again,
+			    .flow_moved = on_flow_moved,
+			    .health_changed = on_health_changed},
+	};
+
+	return relay_director_new(&options);
+}
+
+/*
+ * Makes the task with no routes yet, so that it refuses new flows. The
+ * settings must outlive it; the caller frees it with relay_task_free.
+ */
+struct relay_task *relay_task_new(const struct settings *settings,
+				  GError **error)
+{
+	struct relay_task *relay = g_new0(struct relay_task, 1);
+	struct task_options options = {
+		.name = "relay",
+		.mailbox_capacity = MAILBOX_CAPACITY,
+		.context = relay,
+		.start = start,
+		.handle = handle,
+		.stop = stop,
+	};
+	struct log_options log_options = {
+		.program = "shallotd",
+		.task = "relay",
+		.level = (enum log_level)settings->log_level,
+		.rate_per_s = settings->log_rate_per_s,
+		.fd = STDOUT_FILENO,
+	};
+
+	relay->settings = settings;
+	relay->retry_ms = INT64_MAX;
+	relay->counters = relay_counters_new();
+	relay->log = log_new(&log_options);
+	relay->director = make_director(relay);
+	relay->task = task_new(&options, error);
+	if (relay->task)
+		return relay;
+	relay_task_free(relay);
+	return NULL;
+}
+
+/* Stops the task and frees it; NULL is allowed. */
+void relay_task_free(struct relay_task *relay)
+{
+	if (!relay)
+		return;
+	task_free(relay->task);
+	relay_director_free(relay->director);
+	relay_counters_free(relay->counters);
+	log_free(relay->log);
+	g_free(relay);
+}
+
+/* Says who is told whether the node is ready, before the start. */
+void relay_task_set_admin(struct relay_task *relay, struct task *admin)
+{
+	relay->admin = admin;
+}
+
+/* Returns the task, to start it and to post messages to it. */
+struct task *relay_task_task(struct relay_task *relay)
+{
+	return relay->task;
+}
--- a/daemon/src/request_front.c
+++ b/daemon/src/request_front.c
@@ -120,7 +120,7 @@
 		.task = "requests",
 		.level = (enum log_level)settings->log_level,
 		.rate_per_s = settings->log_rate_per_s,
-		.fd = STDERR_FILENO,
+		.fd = STDOUT_FILENO,
 	};
 
 	return log_new(&options);
--- a/daemon/src/settings.c
+++ b/daemon/src/settings.c
@@ -133,6 +133,22 @@
 	return true;
 }
 
+static bool is_needed(const struct settings *settings,
+		      const struct setting_row *row)
+{
+	switch (row->need) {
+	case NEED_NEVER:
+		return false;
+	case NEED_ALWAYS:
+		return true;
+	case NEED_BY_HOME:
+		return settings->relay.mode == DELIVERY_BY_HOME;
+	case NEED_BY_TAG:
+		return settings->relay.mode == DELIVERY_BY_TAG;
+	}
+	return true;
+}
+
 static bool apply_presets(struct reader *reader)
 {
 	for (size_t i = 0; i < settings_row_count; i++) {
@@ -140,7 +156,7 @@
 
 		if (reader->is_seen[i])
 			continue;
-		if (row->is_required) {
+		if (is_needed(reader->settings, row)) {
 			g_set_error(reader->error, DAEMON_ERROR,
 				    DAEMON_ERROR_SETTINGS,
 				    "%s: %s.%s: expected, but missing",
@@ -239,6 +255,7 @@
 	g_free(settings->members_seeds);
 	g_free(settings->members_key_file);
 	g_free(settings->platform.vm_list_path);
+	g_free(settings->relay.seeds);
 	g_free(settings->platform.token_file);
 	g_free(settings->platform.key_prefix);
 	g_free(settings);
--- a/daemon/src/settings_schema.c
+++ b/daemon/src/settings_schema.c
@@ -11,73 +11,84 @@
 #define DRAIN_TIMEOUT_MAX_MS 3600000
 
 const struct setting_row settings_rows[] = {
-	{"node", "name", SETTING_TEXT, AT(node_name), 1, NAME_BYTES_MAX, true,
-	 NULL},
-	{"node", "zone", SETTING_TEXT, AT(zone), 1, NAME_BYTES_MAX, true, NULL},
-	{"node", "region", SETTING_TEXT, AT(region), 1, NAME_BYTES_MAX, true,
-	 NULL},
-	{"listen", "packets", SETTING_ENDPOINT, AT(listen_packets), 0, 0, true,
-	 NULL},
-	{"listen", "control", SETTING_ENDPOINT, AT(listen_control), 0, 0, true,
+	{"node", "name", SETTING_TEXT, AT(node_name), 1, NAME_BYTES_MAX,
+	 NEED_ALWAYS, NULL},
+	{"node", "zone", SETTING_TEXT, AT(zone), 1, NAME_BYTES_MAX, NEED_ALWAYS,
 	 NULL},
+	{"node", "region", SETTING_TEXT, AT(region), 1, NAME_BYTES_MAX,
+	 NEED_ALWAYS, NULL},
+	{"listen", "packets", SETTING_ENDPOINT, AT(listen_packets), 0, 0,
+	 NEED_ALWAYS, NULL},
+	{"listen", "control", SETTING_ENDPOINT, AT(listen_control), 0, 0,
+	 NEED_BY_HOME, NULL},
 	{"listen", "requests", SETTING_ENDPOINT, AT(listen_requests), 0, 0,
-	 true, NULL},
-	{"listen", "admin", SETTING_ENDPOINT, AT(listen_admin), 0, 0, true,
-	 NULL},
-	{"services", "*", SETTING_SERVICE_LISTEN, AT(requests), 0, 0, false,
-	 NULL},
+	 NEED_BY_HOME, NULL},
+	{"listen", "admin", SETTING_ENDPOINT, AT(listen_admin), 0, 0,
+	 NEED_ALWAYS, NULL},
+	{"listen", "peers", SETTING_ENDPOINT, AT(relay.listen_peers), 0, 0,
+	 NEED_BY_TAG, NULL},
+	{"listen", "metrics", SETTING_ENDPOINT, AT(listen_metrics), 0, 0,
+	 NEED_NEVER, NULL},
+	{"delivery", "mode", SETTING_DELIVERY, AT(relay.mode), 0, 0, NEED_NEVER,
+	 "home"},
+	{"peers", "seeds", SETTING_ENDPOINT_LIST, AT(relay.seeds), 0, 4095,
+	 NEED_NEVER, NULL},
+	{"services", "*", SETTING_SERVICE_LISTEN, AT(requests), 0, 0,
+	 NEED_NEVER, NULL},
 	{"requests", "connection_limit", SETTING_U32,
-	 AT(requests.connection_limit), 1, 100000, false, "4000"},
+	 AT(requests.connection_limit), 1, 100000, NEED_NEVER, "4000"},
 	{"requests", "request_limit", SETTING_U32, AT(requests.request_limit),
-	 1, 100000, false, "2000"},
+	 1, 100000, NEED_NEVER, "2000"},
 	{"requests", "queue_limit", SETTING_U32, AT(requests.queue_limit), 0,
-	 100000, false, "1000"},
+	 100000, NEED_NEVER, "1000"},
 	{"requests", "header_bytes", SETTING_U32, AT(requests.header_bytes),
-	 1024, 1048576, false, "16384"},
+	 1024, 1048576, NEED_NEVER, "16384"},
 	{"requests", "body_bytes", SETTING_U32, AT(requests.body_bytes), 0,
-	 67108864, false, "1048576"},
+	 67108864, NEED_NEVER, "1048576"},
 	{"requests", "buffered_bytes", SETTING_U64, AT(requests.buffered_bytes),
-	 65536, 1ULL << 40, false, "67108864"},
+	 65536, 1ULL << 40, NEED_NEVER, "67108864"},
 	{"requests", "idle_timeout_ms", SETTING_U32,
-	 AT(requests.idle_timeout_ms), 10, 3600000, false, "60000"},
+	 AT(requests.idle_timeout_ms), 10, 3600000, NEED_NEVER, "60000"},
 	{"requests", "read_timeout_ms", SETTING_U32,
-	 AT(requests.read_timeout_ms), 10, 3600000, false, "15000"},
+	 AT(requests.read_timeout_ms), 10, 3600000, NEED_NEVER, "15000"},
 	{"requests", "stall_timeout_ms", SETTING_U32,
-	 AT(requests.stall_timeout_ms), 10, 3600000, false, "15000"},
+	 AT(requests.stall_timeout_ms), 10, 3600000, NEED_NEVER, "15000"},
 	{"requests", "answer_timeout_ms", SETTING_U32,
-	 AT(requests.answer_timeout_ms), 10, 86400000, false, "3600000"},
+	 AT(requests.answer_timeout_ms), 10, 86400000, NEED_NEVER, "3600000"},
 	{"requests", "connect_timeout_ms", SETTING_U32,
-	 AT(requests.connect_timeout_ms), 10, 60000, false, "1000"},
-	{"rules", "file", SETTING_TEXT, AT(rules_file), 1, 4095, false, NULL},
-	{"log", "level", SETTING_LEVEL, AT(log_level), 0, 0, false, "info"},
+	 AT(requests.connect_timeout_ms), 10, 60000, NEED_NEVER, "1000"},
+	{"rules", "file", SETTING_TEXT, AT(rules_file), 1, 4095, NEED_NEVER,
+	 NULL},
+	{"log", "level", SETTING_LEVEL, AT(log_level), 0, 0, NEED_NEVER,
+	 "info"},
 	{"log", "rate_per_s", SETTING_U32, AT(log_rate_per_s), 1, 1000000,
-	 false, "200"},
+	 NEED_NEVER, "200"},
 	{"drain", "timeout_ms", SETTING_U32, AT(drain_timeout_ms), 0,
-	 DRAIN_TIMEOUT_MAX_MS, false, "30000"},
+	 DRAIN_TIMEOUT_MAX_MS, NEED_NEVER, "30000"},
 	{"flows", "capacity", SETTING_U32, AT(flow_capacity), 1024,
-	 FLOW_CAPACITY_MAX, false, "300000"},
-	{"flows", "seed", SETTING_U64, AT(flow_seed), 0, UINT64_MAX, false,
+	 FLOW_CAPACITY_MAX, NEED_NEVER, "300000"},
+	{"flows", "seed", SETTING_U64, AT(flow_seed), 0, UINT64_MAX, NEED_NEVER,
 	 "0"},
-	{"platform", "store", SETTING_ENDPOINT, AT(platform.store), 0, 0, false,
-	 NULL},
+	{"platform", "store", SETTING_ENDPOINT, AT(platform.store), 0, 0,
+	 NEED_BY_TAG, NULL},
 	{"platform", "vm_list", SETTING_ENDPOINT, AT(platform.vm_list), 0, 0,
-	 false, NULL},
+	 NEED_NEVER, NULL},
 	{"platform", "vm_list_path", SETTING_TEXT, AT(platform.vm_list_path), 1,
-	 255, false, "/vms"},
+	 255, NEED_NEVER, "/vms"},
 	{"platform", "token_file", SETTING_TEXT, AT(platform.token_file), 1,
-	 4095, false, NULL},
+	 4095, NEED_NEVER, NULL},
 	{"platform", "key_prefix", SETTING_TEXT, AT(platform.key_prefix), 1,
-	 255, false, "/shallotstream"},
+	 255, NEED_NEVER, "/shallotstream"},
 	{"platform", "timeout_ms", SETTING_U32, AT(platform.timeout_ms), 10,
-	 60000, false, "2000"},
+	 60000, NEED_NEVER, "2000"},
 	{"members", "seeds", SETTING_ENDPOINT_LIST, AT(members_seeds), 1, 4095,
-	 false, NULL},
+	 NEED_NEVER, NULL},
 	{"members", "key_file", SETTING_TEXT, AT(members_key_file), 1, 4095,
-	 false, NULL},
+	 NEED_NEVER, NULL},
 	{"members", "interval_ms", SETTING_U32, AT(members_interval_ms), 100,
-	 60000, false, "1000"},
+	 60000, NEED_NEVER, "1000"},
 	{"members", "bytes_per_s", SETTING_U32, AT(members_bytes_per_s), 1000,
-	 1000000000, false, "14000"},
+	 1000000000, NEED_NEVER, "14000"},
 };
 const size_t settings_row_count = G_N_ELEMENTS(settings_rows);
 
@@ -111,12 +122,31 @@
 	return true;
 }
 
-/* Kept as text: the control task reads it again. */
+static const char *const delivery_names[] = {
+	[DELIVERY_BY_HOME] = "home",
+	[DELIVERY_BY_TAG] = "tag",
+};
+
+static bool assign_delivery(enum delivery_mode *slot, const char *value)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(delivery_names); i++) {
+		if (strcmp(delivery_names[i], value) == 0) {
+			*slot = (enum delivery_mode)i;
+			return true;
+		}
+	}
+	return false;
+}
+
+/* Kept as text: the task that needs it reads it again. */
 static bool assign_endpoint_list(char **slot, const struct setting_row *row,
 				 const char *value)
 {
-	GArray *endpoints = endpoint_list_parse(value);
+	GArray *endpoints;
 
+	if (*value == '\0')
+		return assign_text(slot, row, value);
+	endpoints = endpoint_list_parse(value);
 	if (!endpoints)
 		return false;
 	g_array_free(endpoints, TRUE);
@@ -170,6 +200,8 @@
 		return assign_endpoint_list(slot, row, value);
 	case SETTING_LEVEL:
 		return assign_level(slot, value);
+	case SETTING_DELIVERY:
+		return assign_delivery(slot, value);
 	case SETTING_U32:
 		if (!read_number(row, value, &number))
 			return false;
@@ -215,6 +247,9 @@
 		       0;
 	case SETTING_ENDPOINT:
 		return endpoint_equal(left, right);
+	case SETTING_DELIVERY:
+		return *(const enum delivery_mode *)left ==
+		       *(const enum delivery_mode *)right;
 	case SETTING_LEVEL:
 	case SETTING_U32:
 		return *(const uint32_t *)left == *(const uint32_t *)right;
@@ -246,6 +281,9 @@
 		snprintf(text, text_bytes,
 			 "error, warning, notice, info or debug");
 		break;
+	case SETTING_DELIVERY:
+		snprintf(text, text_bytes, "home or tag");
+		break;
 	case SETTING_SERVICE_LISTEN:
 		snprintf(text, text_bytes,
 			 "a service name once, and its address:port");
--- a/daemon/src/settings_schema.h
+++ b/daemon/src/settings_schema.h
@@ -12,10 +12,19 @@
 	SETTING_U32,
 	SETTING_U64,
 	SETTING_LEVEL,
+	SETTING_DELIVERY,
 	/* Any key: the name of a service, with its address as the value. */
 	SETTING_SERVICE_LISTEN,
 };
 
+/* In which mode of delivery a key has to be there. */
+enum setting_need {
+	NEED_NEVER,
+	NEED_ALWAYS,
+	NEED_BY_HOME,
+	NEED_BY_TAG,
+};
+
 /* One key, or "*" for any: where its value goes and which values are allowed.
  */
 struct setting_row {
@@ -25,7 +34,7 @@
 	size_t offset;
 	uint64_t min;
 	uint64_t max;
-	bool is_required;
+	enum setting_need need;
 	const char *preset;
 };
 
--- a/daemon/src/shallotd.c
+++ b/daemon/src/shallotd.c
@@ -6,9 +6,11 @@
 #include <daemon/config_task.h>
 #include <daemon/control_task.h>
 #include <daemon/drain_task.h>
+#include <daemon/feed_task.h>
 #include <daemon/log_settings_message.h>
 #include <daemon/packet_task.h>
 #include <daemon/ready_message.h>
+#include <daemon/relay_task.h>
 #include <daemon/request_task.h>
 #include <daemon/rules_file.h>
 #include <daemon/rules_message.h>
@@ -43,8 +45,11 @@
 	struct config_task *config;
 	struct control_task *control;
 	struct claims_task *claims;
+	struct relay_task *relay;
+	struct feed_task *feed;
 	struct task *tasks[TASK_COUNT_MAX];
 	uint32_t task_count;
+	uint32_t drain_task_count;
 };
 
 /* A node without a store takes its rules from a file. */
@@ -131,8 +136,38 @@
 	return true;
 }
 
+/* A node that forwards by tag; the relay starts before what it is told. */
+static bool make_relay_tasks(struct shallotd *daemon, GError **error)
+{
+	struct feed_task_options feed = {.settings = daemon->settings};
+	struct admin_options admin = {
+		.settings = daemon->settings,
+		.sources = &daemon->tasks[WORK_TASK_FIRST],
+		.source_count = 2,
+	};
+
+	daemon->relay = relay_task_new(daemon->settings, error);
+	if (!daemon->relay)
+		return false;
+	feed.sink = relay_task_task(daemon->relay);
+	daemon->feed = feed_task_new(&feed, error);
+	if (!daemon->feed)
+		return false;
+	daemon->admin = admin_task_new(&admin, error);
+	if (!daemon->admin)
+		return false;
+	relay_task_set_admin(daemon->relay, admin_task_task(daemon->admin));
+	daemon->tasks[daemon->task_count++] = admin_task_task(daemon->admin);
+	daemon->tasks[daemon->task_count++] = relay_task_task(daemon->relay);
+	daemon->tasks[daemon->task_count++] = feed_task_task(daemon->feed);
+	daemon->drain_task_count = daemon->task_count;
+	return true;
+}
+
 static bool make_tasks(struct shallotd *daemon, GError **error)
 {
+	if (daemon->settings->relay.mode == DELIVERY_BY_TAG)
+		return make_relay_tasks(daemon, error);
 	daemon->packets = packet_task_new(daemon->settings, error);
 	if (!daemon->packets)
 		return false;
@@ -146,6 +181,7 @@
 	daemon->tasks[TASK_PACKETS] = packet_task_task(daemon->packets);
 	daemon->tasks[TASK_CONTROL] = control_task_task(daemon->control);
 	daemon->task_count = TASK_COUNT_LEAST;
+	daemon->drain_task_count = DRAIN_TASK_COUNT;
 	if (!make_claims(daemon, error) || !make_requests(daemon, error))
 		return false;
 	if (!make_admin(daemon, error) || !make_config(daemon, error))
@@ -224,6 +260,8 @@
 	stop_tasks(daemon);
 	admin_task_free(daemon->admin);
 	config_task_free(daemon->config);
+	feed_task_free(daemon->feed);
+	relay_task_free(daemon->relay);
 	request_task_free(daemon->requests);
 	claims_task_free(daemon->claims);
 	packet_task_free(daemon->packets);
@@ -242,7 +280,7 @@
 {
 	struct drain_task_options drain_options = {
 		.tasks = daemon->tasks,
-		.task_count = DRAIN_TASK_COUNT,
+		.task_count = daemon->drain_task_count,
 		.timeout_ms = daemon->settings->drain_timeout_ms,
 		.context = options->context,
 		.done = options->done,
--- a/fakes/include/fakes/fake_kv.h
+++ b/fakes/include/fakes/fake_kv.h
@@ -6,8 +6,8 @@
 #include <glib.h>
 
 /*
- * A stand-in for the platform's key-value service: a task that speaks its
- * JSON gateway, keeps keys, leases and watches in memory and counts calls.
+ * A stand-in for the platform's key-value store: a task that speaks its HTTP
+ * interface, keeps keys, leases and watches in memory and counts calls.
  */
 struct fake_kv;
 
--- a/fakes/src/fake_kv.c
+++ b/fakes/src/fake_kv.c
@@ -5,6 +5,7 @@
 #include "http_cut.h"
 
 #include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
 #include <inttypes.h>
 #include <pthread.h>
 #include <stdlib.h>
@@ -17,6 +18,7 @@
 
 #define MAILBOX_CAPACITY 64
 #define EXPIRE_INTERVAL_MS 100
+#define PAGE_COUNT 50
 #define STATUS_OK 200
 #define STATUS_UNAUTHORIZED 401
 #define STATUS_NOT_FOUND 404
@@ -45,54 +47,98 @@
 	struct fake_kv *kv;
 	struct event *event;
 	struct evhttp_request *request;
+	int status;
 	char *text;
 };
 
-/* One call of the gateway. */
+/* A call as it came in: path without its query, query, and body. */
+struct fake_kv_call {
+	const char *path;
+	struct evkeyvalq query;
+	json_t *body;
+};
+
+/* One kind of call; those that end in "/" name a lease behind it. */
 struct fake_kv_route {
+	enum evhttp_cmd_type method;
 	const char *path;
 	bool is_write;
-	json_t *(*run)(struct fake_kv *kv, const json_t *request);
+	json_t *(*run)(struct fake_kv *kv, const struct fake_kv_call *call,
+		       int *status);
 };
 
-static json_t *run_range(struct fake_kv *kv, const json_t *request)
+static const char *query_text(const struct fake_kv_call *call, const char *name)
+{
+	const char *text = evhttp_find_header(&call->query, name);
+
+	return text ? text : "";
+}
+
+static int64_t query_number(const struct fake_kv_call *call, const char *name)
+{
+	return g_ascii_strtoll(query_text(call, name), NULL, 10);
+}
+
+static int64_t lease_of(const struct fake_kv_call *call)
+{
+	return g_ascii_strtoll(strrchr(call->path, '/') + 1, NULL, 10);
+}
+
+static json_t *run_key(struct fake_kv *kv, const struct fake_kv_call *call,
+		       int *status)
 {
-	return fake_kv_store_range(kv->store, request);
+	return fake_kv_store_key(kv->store, query_text(call, "key"), status);
 }
 
-static json_t *run_txn(struct fake_kv *kv, const json_t *request)
+static json_t *run_range(struct fake_kv *kv, const struct fake_kv_call *call,
+			 int *status)
 {
-	return fake_kv_store_txn(kv->store, request);
+	return fake_kv_store_range(kv->store, query_text(call, "prefix"),
+				   query_text(call, "after"), PAGE_COUNT);
 }
 
-static json_t *run_grant(struct fake_kv *kv, const json_t *request)
+static json_t *run_txn(struct fake_kv *kv, const struct fake_kv_call *call,
+		       int *status)
 {
-	return fake_kv_store_grant(kv->store, request, task_now_ms());
+	return fake_kv_store_txn(kv->store, call->body, status);
 }
 
-static json_t *run_keep_alive(struct fake_kv *kv, const json_t *request)
+static json_t *run_grant(struct fake_kv *kv, const struct fake_kv_call *call,
+			 int *status)
 {
-	return fake_kv_store_keep_alive(kv->store, request, task_now_ms());
+	int64_t ttl_ms =
+		json_integer_value(json_object_get(call->body, "ttlMs"));
+
+	return fake_kv_store_grant(kv->store, ttl_ms, task_now_ms());
+}
+
+static json_t *run_keep_alive(struct fake_kv *kv,
+			      const struct fake_kv_call *call, int *status)
+{
+	return fake_kv_store_keep_alive(kv->store, lease_of(call),
+					task_now_ms(), status);
 }
 
-static json_t *run_revoke(struct fake_kv *kv, const json_t *request)
+static json_t *run_revoke(struct fake_kv *kv, const struct fake_kv_call *call,
+			  int *status)
 {
-	return fake_kv_store_revoke(kv->store, request);
+	return fake_kv_store_revoke(kv->store, lease_of(call));
 }
 
 static const struct fake_kv_route routes[] = {
-	{"/v3/kv/range", false, run_range},
-	{"/v3/kv/txn", true, run_txn},
-	{"/v3/lease/grant", true, run_grant},
-	{"/v3/lease/keepalive", true, run_keep_alive},
-	{"/v3/lease/revoke", true, run_revoke},
+	{EVHTTP_REQ_GET, "/-/kv-key", false, run_key},
+	{EVHTTP_REQ_GET, "/-/kv-range", false, run_range},
+	{EVHTTP_REQ_POST, "/-/kv-txn", true, run_txn},
+	{EVHTTP_REQ_POST, "/-/kv-lease", true, run_grant},
+	{EVHTTP_REQ_POST, "/-/kv-keep/", true, run_keep_alive},
+	{EVHTTP_REQ_DELETE, "/-/kv-lease-end/", true, run_revoke},
 };
 
-static void answer(struct evhttp_request *request, const char *text)
+static void answer(struct evhttp_request *request, int status, const char *text)
 {
 	evbuffer_add(evhttp_request_get_output_buffer(request), text,
 		     strlen(text));
-	evhttp_send_reply(request, STATUS_OK, "OK", NULL);
+	evhttp_send_reply(request, status, NULL, NULL);
 }
 
 static void free_late(gpointer data)
@@ -110,14 +156,14 @@
 	struct late_answer *late = context;
 	struct fake_kv *kv = late->kv;
 
-	answer(late->request, late->text);
+	answer(late->request, late->status, late->text);
 	pthread_mutex_lock(&kv->lock);
 	g_ptr_array_remove(kv->late_answers, late);
 	pthread_mutex_unlock(&kv->lock);
 }
 
 static void answer_late(struct fake_kv *kv, struct evhttp_request *request,
-			char *text)
+			int status, char *text)
 {
 	struct late_answer *late = g_new0(struct late_answer, 1);
 	struct timeval delay = {
@@ -127,6 +173,7 @@
 
 	late->kv = kv;
 	late->request = request;
+	late->status = status;
 	late->text = text;
 	late->event = event_new(task_base(kv->task), -1, 0, on_late, late);
 	event_add(late->event, &delay);
@@ -144,15 +191,17 @@
 static void send_all_events(struct fake_kv *kv)
 {
 	if (!kv->fault.is_watch_stalled)
-		fake_kv_watches_send(kv->watches);
+		fake_kv_watches_send(kv->watches, task_now_ms());
 }
 
 static void open_watch(struct fake_kv *kv, struct evhttp_request *request,
-		       const json_t *body)
+		       const struct fake_kv_call *call)
 {
 	kv->watch_count++;
-	fake_kv_watches_open(kv->watches, request, body,
-			     kv->fault.is_watch_stalled);
+	fake_kv_watches_open(kv->watches, request, query_text(call, "prefix"),
+			     query_number(call, "after"),
+			     task_now_ms() + query_number(call, "waitMs"));
+	send_all_events(kv);
 }
 
 static bool is_answer_lost(struct fake_kv *kv)
@@ -168,9 +217,11 @@
 }
 
 static void run_route(struct fake_kv *kv, const struct fake_kv_route *route,
-		      struct evhttp_request *request, const json_t *body)
+		      struct evhttp_request *request,
+		      const struct fake_kv_call *call)
 {
-	json_t *result = route->run(kv, body);
+	int status = STATUS_OK;
+	json_t *result = route->run(kv, call, &status);
 	char *text = json_dumps(result, JSON_COMPACT);
 
 	json_decref(result);
@@ -184,9 +235,9 @@
 		http_cut(request);
 		free(text);
 	} else if (kv->fault.delay_ms > 0) {
-		answer_late(kv, request, text);
+		answer_late(kv, request, status, text);
 	} else {
-		answer(request, text);
+		answer(request, status, text);
 		free(text);
 	}
 	send_all_events(kv);
@@ -199,14 +250,25 @@
 		"reads %" PRIu64 "\nwrites %" PRIu64 "\nwatches %" PRIu64 "\n",
 		kv->read_count, kv->write_count, kv->watch_count);
 
-	answer(request, text);
+	answer(request, STATUS_OK, text);
 	g_free(text);
 }
 
-static const struct fake_kv_route *find_route(const char *path)
+static bool is_route(const struct fake_kv_route *route,
+		     enum evhttp_cmd_type method, const char *path)
+{
+	if (route->method != method)
+		return false;
+	if (g_str_has_suffix(route->path, "/"))
+		return g_str_has_prefix(path, route->path);
+	return strcmp(route->path, path) == 0;
+}
+
+static const struct fake_kv_route *find_route(enum evhttp_cmd_type method,
+					      const char *path)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
-		if (strcmp(routes[i].path, path) == 0)
+		if (is_route(&routes[i], method, path))
 			return &routes[i];
 	}
 	return NULL;
@@ -222,35 +284,50 @@
 	       (token && strcmp(token, kv->options.token) == 0);
 }
 
-static void serve(struct fake_kv *kv, struct evhttp_request *request)
+static void serve(struct fake_kv *kv, struct evhttp_request *request,
+		  const struct fake_kv_call *call)
 {
-	const char *path = evhttp_request_get_uri(request);
-	const struct fake_kv_route *route = find_route(path);
-	json_t *body = read_body(request);
+	const struct fake_kv_route *route =
+		find_route(evhttp_request_get_command(request), call->path);
 
 	fake_kv_store_expire(kv->store, task_now_ms());
-	if (strcmp(path, "/counts") == 0)
+	if (strcmp(call->path, "/counts") == 0)
 		answer_counts(kv, request);
 	else if (kv->fault.is_down)
 		http_cut(request);
+	else if (kv->fault.refusal_status != 0)
+		evhttp_send_error(request, (int)kv->fault.refusal_status, NULL);
 	else if (!is_authorized(kv, request))
 		evhttp_send_error(request, STATUS_UNAUTHORIZED, NULL);
 	else if (route)
-		run_route(kv, route, request, body);
-	else if (strcmp(path, "/v3/watch") == 0)
-		open_watch(kv, request, body);
+		run_route(kv, route, request, call);
+	else if (strcmp(call->path, "/-/kv-watch") == 0)
+		open_watch(kv, request, call);
 	else
 		evhttp_send_error(request, STATUS_NOT_FOUND, NULL);
-	json_decref(body);
+}
+
+static void read_call(struct fake_kv_call *call, struct evhttp_request *request)
+{
+	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
+	const char *query = evhttp_uri_get_query(uri);
+
+	call->path = evhttp_uri_get_path(uri);
+	evhttp_parse_query_str(query ? query : "", &call->query);
+	call->body = read_body(request);
 }
 
 static void on_request(struct evhttp_request *request, void *context)
 {
 	struct fake_kv *kv = context;
+	struct fake_kv_call call;
 
+	read_call(&call, request);
 	pthread_mutex_lock(&kv->lock);
-	serve(kv, request);
+	serve(kv, request, &call);
 	pthread_mutex_unlock(&kv->lock);
+	evhttp_clear_headers(&call.query);
+	json_decref(call.body);
 }
 
 static void on_expire(void *context)
--- a/fakes/src/fake_kv_store.c
+++ b/fakes/src/fake_kv_store.c
@@ -1,21 +1,23 @@
 #include "fake_kv_store.h"
 
 #include <glib.h>
-#include <inttypes.h>
 #include <string.h>
 
-#define MS_PER_S 1000
+#define STATUS_OK 200
+#define STATUS_NOT_FOUND 404
+#define STATUS_COMPACTED 410
+#define STATUS_COMPARE_FAILED 412
 
 /* A lease of some id, and when it lapses. */
 struct fake_lease {
 	int64_t id;
-	int64_t ttl_s;
+	int64_t ttl_ms;
 	int64_t end_ms;
 };
 
-/* kvs maps the base64 key to the gateway's object; history lists events. */
+/* items maps a key to its item; history lists the changes, oldest first. */
 struct fake_kv_store {
-	json_t *kvs;
+	json_t *items;
 	json_t *history;
 	json_t *snapshot;
 	GArray *leases;
@@ -25,12 +27,12 @@
 	int64_t next_lease_id;
 };
 
-/* Makes an empty store of revision 1, as a new etcd has. */
+/* Makes an empty store of revision 1. */
 struct fake_kv_store *fake_kv_store_new(void)
 {
 	struct fake_kv_store *store = g_new0(struct fake_kv_store, 1);
 
-	store->kvs = json_object();
+	store->items = json_object();
 	store->history = json_array();
 	store->leases = g_array_new(FALSE, FALSE, sizeof(struct fake_lease));
 	store->revision = 1;
@@ -43,13 +45,18 @@
 {
 	if (!store)
 		return;
-	json_decref(store->kvs);
+	json_decref(store->items);
 	json_decref(store->history);
 	json_decref(store->snapshot);
 	g_array_free(store->leases, TRUE);
 	g_free(store);
 }
 
+static int64_t number_of(const json_t *object, const char *name)
+{
+	return json_integer_value(json_object_get(object, name));
+}
+
 static const char *text_of(const json_t *object, const char *name)
 {
 	const char *text = json_string_value(json_object_get(object, name));
@@ -57,142 +64,151 @@
 	return text ? text : "";
 }
 
-static int64_t number_of(const json_t *object, const char *name)
+/* Returns the store's revision. */
+int64_t fake_kv_store_revision(const struct fake_kv_store *store)
 {
-	return g_ascii_strtoll(text_of(object, name), NULL, 10);
+	return store->revision;
 }
 
-static json_t *number(int64_t value)
+static void set_current(const struct fake_kv_store *store, json_t *answer)
 {
-	return json_sprintf("%" PRId64, value);
+	json_object_set_new(answer, "currentRev",
+			    json_integer(store->revision));
 }
 
-static char *decode_key(const char *text)
+/* Answers a read of one key; the status is 404 where there is none. */
+json_t *fake_kv_store_key(struct fake_kv_store *store, const char *key,
+			  int *status)
 {
-	gsize length = 0;
-	guchar *bytes = g_base64_decode(text, &length);
-	char *key = g_strndup((char *)bytes, length);
+	const json_t *item = json_object_get(store->items, key);
+	json_t *answer = item ? json_copy((json_t *)item) : json_object();
 
-	g_free(bytes);
-	return key;
+	*status = item ? STATUS_OK : STATUS_NOT_FOUND;
+	set_current(store, answer);
+	return answer;
 }
 
-/* Compares by bytes; a range without an end is one key. */
-static bool is_in_range(const json_t *range, const char *encoded_key)
+static gint compare_keys(gconstpointer a, gconstpointer b)
 {
-	char *key = decode_key(encoded_key);
-	char *first = decode_key(text_of(range, "key"));
-	char *end = decode_key(text_of(range, "range_end"));
-	bool is_in = *end ? strcmp(key, first) >= 0 && strcmp(key, end) < 0
-			  : strcmp(key, first) == 0;
-
-	g_free(key);
-	g_free(first);
-	g_free(end);
-	return is_in;
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
 }
 
-/* Makes the header that every answer has. */
-json_t *fake_kv_store_header(const struct fake_kv_store *store)
+static GPtrArray *sorted_keys(const struct fake_kv_store *store,
+			      const char *prefix, const char *after_key)
 {
-	return json_pack("{s:o}", "revision", number(store->revision));
-}
-
-/* Returns the store's revision. */
-int64_t fake_kv_store_revision(const struct fake_kv_store *store)
-{
-	return store->revision;
-}
-
-/* Answers a range request. */
-json_t *fake_kv_store_range(struct fake_kv_store *store, const json_t *request)
-{
-	json_t *kvs = json_array();
+	GPtrArray *keys = g_ptr_array_new();
 	const char *key;
-	json_t *kv;
+	json_t *item;
 
-	json_object_foreach(store->kvs, key, kv)
+	json_object_foreach(store->items, key, item)
 	{
-		if (is_in_range(request, key))
-			json_array_append(kvs, kv);
+		if (g_str_has_prefix(key, prefix) && strcmp(key, after_key) > 0)
+			g_ptr_array_add(keys, (gpointer)key);
 	}
-	return json_pack("{s:o, s:o, s:o}", "header",
-			 fake_kv_store_header(store), "kvs", kvs, "count",
-			 number((int64_t)json_array_size(kvs)));
+	g_ptr_array_sort(keys, compare_keys);
+	return keys;
+}
+
+/* Answers with one page of the keys that begin with a prefix. */
+json_t *fake_kv_store_range(struct fake_kv_store *store, const char *prefix,
+			    const char *after_key, uint32_t page_count)
+{
+	GPtrArray *keys = sorted_keys(store, prefix, after_key);
+	json_t *items = json_array();
+	json_t *answer;
+
+	for (guint i = 0; i < keys->len && i < page_count; i++)
+		json_array_append(items,
+				  json_object_get(store->items,
+						  g_ptr_array_index(keys, i)));
+	answer = json_pack("{s:o, s:b}", "items", items, "hasMore",
+			   keys->len > page_count);
+	set_current(store, answer);
+	g_ptr_array_free(keys, TRUE);
+	return answer;
 }
 
 static void put(struct fake_kv_store *store, const json_t *request)
 {
 	const char *key = text_of(request, "key");
-	json_t *kv = json_pack("{s:s, s:s, s:s}", "key", key, "value",
-			       text_of(request, "value"), "lease",
-			       text_of(request, "lease"));
-
-	store->revision++;
-	json_object_set_new(kv, "mod_revision", number(store->revision));
-	json_object_set(store->kvs, key, kv);
-	json_array_append_new(store->history, json_pack("{s:o}", "kv", kv));
+	const json_t *old = json_object_get(store->items, key);
+	json_t *item =
+		json_pack("{s:s, s:s, s:I, s:I, s:I}", "key", key, "value",
+			  text_of(request, "value"), "lease",
+			  (json_int_t)number_of(request, "lease"), "revision",
+			  (json_int_t)store->revision, "created",
+			  (json_int_t)(old ? number_of(old, "created")
+					   : store->revision));
+
+	json_object_set(store->items, key, item);
+	json_array_append_new(store->history, item);
 }
 
 static void delete_key(struct fake_kv_store *store, const char *key)
 {
-	json_t *kv = json_pack("{s:s}", "key", key);
-
-	store->revision++;
-	json_object_set_new(kv, "mod_revision", number(store->revision));
-	json_array_append_new(store->history, json_pack("{s:s, s:o}", "type",
-							"DELETE", "kv", kv));
-	json_object_del(store->kvs, key);
+	json_array_append_new(store->history,
+			      json_pack("{s:s, s:I, s:b}", "key", key,
+					"revision", (json_int_t)store->revision,
+					"deleted", true));
+	json_object_del(store->items, key);
 }
 
-static bool is_equal(const struct fake_kv_store *store, const json_t *compare)
+static bool is_expected(const struct fake_kv_store *store, const json_t *row)
 {
-	const json_t *kv = json_object_get(store->kvs, text_of(compare, "key"));
+	const json_t *item = json_object_get(store->items, text_of(row, "key"));
 
-	return number_of(kv, "mod_revision") ==
-	       number_of(compare, "mod_revision");
+	return number_of(item, "revision") == number_of(row, "revision");
 }
 
-static json_t *run_operations(struct fake_kv_store *store,
-			      const json_t *operations)
+/* Lists the keys of a failed comparison as they stand. */
+static json_t *current_items(const struct fake_kv_store *store,
+			     const json_t *expected)
 {
-	json_t *responses = json_array();
+	json_t *items = json_array();
 	size_t index;
-	json_t *operation;
+	json_t *row;
 
-	json_array_foreach(operations, index, operation)
+	json_array_foreach(expected, index, row)
 	{
-		const json_t *range =
-			json_object_get(operation, "request_range");
-		const json_t *write = json_object_get(operation, "request_put");
-
-		if (write)
-			put(store, write);
-		if (range)
-			json_array_append_new(
-				responses,
-				json_pack("{s:o}", "response_range",
-					  fake_kv_store_range(store, range)));
+		json_t *item =
+			json_object_get(store->items, text_of(row, "key"));
+
+		if (item)
+			json_array_append(items, item);
 	}
-	return responses;
+	return json_pack("{s:o}", "items", items);
 }
 
-/* Answers a transaction whose comparisons are all on mod_revision. */
-json_t *fake_kv_store_txn(struct fake_kv_store *store, const json_t *request)
+static void apply(struct fake_kv_store *store, const json_t *request)
 {
-	bool is_succeeded = true;
-	json_t *responses;
 	size_t index;
-	json_t *compare;
-
-	json_array_foreach(json_object_get(request, "compare"), index, compare)
-		is_succeeded = is_succeeded && is_equal(store, compare);
-	responses = run_operations(
-		store,
-		json_object_get(request, is_succeeded ? "success" : "failure"));
-	return json_pack("{s:o, s:b, s:o}", "header",
-			 fake_kv_store_header(store), "succeeded", is_succeeded,
-			 "responses", responses);
+	json_t *row;
+
+	store->revision++;
+	json_array_foreach(json_object_get(request, "puts"), index, row)
+		put(store, row);
+	json_array_foreach(json_object_get(request, "remove"), index, row)
+		delete_key(store, json_string_value(row));
+}
+
+/* Answers a transaction: all of it, or the items that were not as expected. */
+json_t *fake_kv_store_txn(struct fake_kv_store *store, const json_t *request,
+			  int *status)
+{
+	const json_t *expected = json_object_get(request, "expected");
+	size_t index;
+	json_t *row;
+
+	*status = STATUS_OK;
+	json_array_foreach(expected, index, row)
+	{
+		if (!is_expected(store, row))
+			*status = STATUS_COMPARE_FAILED;
+	}
+	if (*status != STATUS_OK)
+		return current_items(store, expected);
+	apply(store, request);
+	return json_pack("{s:I}", "revision", (json_int_t)store->revision);
 }
 
 static struct fake_lease *find_lease(struct fake_kv_store *store, int64_t id)
@@ -207,48 +223,42 @@
 	return NULL;
 }
 
-static json_t *lease_answer(const struct fake_kv_store *store, int64_t id,
-			    int64_t ttl_s)
-{
-	return json_pack("{s:o, s:o, s:o}", "header",
-			 fake_kv_store_header(store), "ID", number(id), "TTL",
-			 number(ttl_s));
-}
-
 /* Grants a lease. */
-json_t *fake_kv_store_grant(struct fake_kv_store *store, const json_t *request,
+json_t *fake_kv_store_grant(struct fake_kv_store *store, int64_t ttl_ms,
 			    int64_t now_ms)
 {
 	struct fake_lease lease = {.id = store->next_lease_id++,
-				   .ttl_s = number_of(request, "TTL")};
+				   .ttl_ms = ttl_ms,
+				   .end_ms = now_ms + ttl_ms};
 
-	lease.end_ms = now_ms + lease.ttl_s * MS_PER_S;
 	g_array_append_val(store->leases, lease);
-	return lease_answer(store, lease.id, lease.ttl_s);
+	return json_pack("{s:I, s:I}", "lease", (json_int_t)lease.id, "ttlMs",
+			 (json_int_t)ttl_ms);
 }
 
-/* Prolongs a lease; one that has lapsed is answered with TTL 0. */
-json_t *fake_kv_store_keep_alive(struct fake_kv_store *store,
-				 const json_t *request, int64_t now_ms)
+/* Prolongs a lease; the status is 404 for one that has lapsed. */
+json_t *fake_kv_store_keep_alive(struct fake_kv_store *store, int64_t lease_id,
+				 int64_t now_ms, int *status)
 {
-	struct fake_lease *lease = find_lease(store, number_of(request, "ID"));
+	struct fake_lease *lease = find_lease(store, lease_id);
 
-	if (lease)
-		lease->end_ms = now_ms + lease->ttl_s * MS_PER_S;
-	return json_pack("{s:o}", "result",
-			 lease_answer(store, number_of(request, "ID"),
-				      lease ? lease->ttl_s : 0));
+	*status = lease ? STATUS_OK : STATUS_NOT_FOUND;
+	if (!lease)
+		return json_object();
+	lease->end_ms = now_ms + lease->ttl_ms;
+	return json_pack("{s:I}", "ttlMs", (json_int_t)lease->ttl_ms);
 }
 
 static void end_lease(struct fake_kv_store *store, int64_t id)
 {
 	const char *key;
-	json_t *kv;
+	json_t *item;
 	void *next;
 
-	json_object_foreach_safe(store->kvs, next, key, kv)
+	store->revision++;
+	json_object_foreach_safe(store->items, next, key, item)
 	{
-		if (number_of(kv, "lease") == id)
+		if (number_of(item, "lease") == id)
 			delete_key(store, key);
 	}
 	for (guint i = 0; i < store->leases->len; i++) {
@@ -261,10 +271,10 @@
 }
 
 /* Ends a lease and the keys that hang on it. */
-json_t *fake_kv_store_revoke(struct fake_kv_store *store, const json_t *request)
+json_t *fake_kv_store_revoke(struct fake_kv_store *store, int64_t lease_id)
 {
-	end_lease(store, number_of(request, "ID"));
-	return json_pack("{s:o}", "header", fake_kv_store_header(store));
+	end_lease(store, lease_id);
+	return json_object();
 }
 
 /* Ends the leases that have lapsed. */
@@ -280,36 +290,28 @@
 }
 
 /*
- * Answers a watch with the events since a revision, NULL where there are none.
- * A compacted revision cancels the watch.
+ * Lists the changes behind a revision. The status is 410 for a revision whose
+ * history is gone.
  */
 json_t *fake_kv_store_events(const struct fake_kv_store *store,
-			     const json_t *watch, int64_t from_revision)
+			     const char *prefix, int64_t after_revision,
+			     int *status)
 {
 	json_t *events = json_array();
+	json_t *answer = json_pack("{s:o}", "events", events);
 	size_t index;
-	json_t *event;
-
-	if (from_revision > 0 && from_revision <= store->compact_revision) {
-		json_decref(events);
-		return json_pack("{s:o, s:b, s:o}", "header",
-				 fake_kv_store_header(store), "canceled", true,
-				 "compact_revision",
-				 number(store->compact_revision));
-	}
-	json_array_foreach(store->history, index, event)
-	{
-		const json_t *kv = json_object_get(event, "kv");
+	json_t *item;
 
-		if (number_of(kv, "mod_revision") >= from_revision &&
-		    is_in_range(watch, text_of(kv, "key")))
-			json_array_append(events, event);
+	*status = after_revision < store->compact_revision ? STATUS_COMPACTED
+							   : STATUS_OK;
+	json_array_foreach(store->history, index, item)
+	{
+		if (number_of(item, "revision") > after_revision &&
+		    g_str_has_prefix(text_of(item, "key"), prefix))
+			json_array_append(events, item);
 	}
-	if (json_array_size(events) > 0)
-		return json_pack("{s:o, s:o}", "header",
-				 fake_kv_store_header(store), "events", events);
-	json_decref(events);
-	return NULL;
+	set_current(store, answer);
+	return answer;
 }
 
 /* Forgets the history up to now. */
@@ -323,15 +325,15 @@
 void fake_kv_store_snapshot(struct fake_kv_store *store)
 {
 	json_decref(store->snapshot);
-	store->snapshot = json_deep_copy(store->kvs);
+	store->snapshot = json_deep_copy(store->items);
 	store->snapshot_revision = store->revision;
 }
 
 /* Goes back to the snapshot, revision and all; watches hear nothing. */
 void fake_kv_store_restore(struct fake_kv_store *store)
 {
-	json_decref(store->kvs);
-	store->kvs = json_deep_copy(store->snapshot);
+	json_decref(store->items);
+	store->items = json_deep_copy(store->snapshot);
 	store->revision = store->snapshot_revision;
 	json_array_clear(store->history);
 }
--- a/fakes/src/fake_kv_watches.c
+++ b/fakes/src/fake_kv_watches.c
@@ -1,19 +1,36 @@
 #include "fake_kv_watches.h"
 
-#include "fake_kv_watch.h"
-
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <glib.h>
+#include <string.h>
 #include <sys/socket.h>
 
 #define STATUS_OK 200
 
+/* A call that waits, and when it is answered without a change. */
+struct fake_kv_watch {
+	struct evhttp_request *request;
+	struct evhttp_connection *connection;
+	char *prefix;
+	int64_t after_revision;
+	int64_t end_ms;
+};
+
 struct fake_kv_watches {
 	pthread_mutex_t *lock;
 	const struct fake_kv_store *store;
 	GPtrArray *list;
 };
 
+static void watch_free(gpointer data)
+{
+	struct fake_kv_watch *watch = data;
+
+	g_free(watch->prefix);
+	g_free(watch);
+}
+
 /* Makes an empty list; lock and store must outlive it. */
 struct fake_kv_watches *fake_kv_watches_new(pthread_mutex_t *lock,
 					    const struct fake_kv_store *store)
@@ -22,90 +39,86 @@
 
 	watches->lock = lock;
 	watches->store = store;
-	watches->list = g_ptr_array_new();
+	watches->list = g_ptr_array_new_with_free_func(watch_free);
 	return watches;
 }
 
 /* Frees the list once the server's connections are gone. */
 void fake_kv_watches_free(struct fake_kv_watches *watches)
 {
-	for (guint i = 0; i < watches->list->len; i++)
-		fake_kv_watch_free(g_ptr_array_index(watches->list, i));
 	g_ptr_array_free(watches->list, TRUE);
 	g_free(watches);
 }
 
-static void send_events(struct fake_kv_watches *watches,
-			struct fake_kv_watch *watch)
-{
-	json_t *events = fake_kv_store_events(watches->store, watch->range,
-					      watch->next_revision);
-
-	watch->next_revision = fake_kv_store_revision(watches->store) + 1;
-	if (events)
-		fake_kv_watch_send(watch, events);
-}
-
-/* Sends each watch what it has not had yet. */
-void fake_kv_watches_send(struct fake_kv_watches *watches)
-{
-	for (guint i = 0; i < watches->list->len; i++)
-		send_events(watches, g_ptr_array_index(watches->list, i));
-}
-
 static void on_closed(struct evhttp_connection *connection, void *context)
 {
 	struct fake_kv_watches *watches = context;
 
 	pthread_mutex_lock(watches->lock);
 	for (guint i = watches->list->len; i-- > 0;) {
-		struct fake_kv_watch *watch =
+		const struct fake_kv_watch *watch =
 			g_ptr_array_index(watches->list, i);
 
 		if (watch->connection != connection)
 			continue;
 		/* libevent leaves a request whose caller went to its user. */
 		if (!evhttp_request_get_connection(watch->request))
-			evhttp_send_reply_end(watch->request);
+			evhttp_request_free(watch->request);
 		g_ptr_array_remove_index(watches->list, i);
-		fake_kv_watch_free(watch);
 	}
 	pthread_mutex_unlock(watches->lock);
 }
 
-static int64_t start_revision(const struct fake_kv_watches *watches,
-			      const struct fake_kv_watch *watch)
+/* Answers a watch that has changes or whose time is over. */
+static bool send_due(struct fake_kv_watches *watches,
+		     struct fake_kv_watch *watch, int64_t now_ms)
 {
-	const char *text = json_string_value(
-		json_object_get(watch->range, "start_revision"));
+	int status;
+	json_t *answer = fake_kv_store_events(watches->store, watch->prefix,
+					      watch->after_revision, &status);
+	bool is_due = status != STATUS_OK || now_ms >= watch->end_ms ||
+		      json_array_size(json_object_get(answer, "events")) > 0;
+	char *text;
+
+	if (is_due) {
+		text = json_dumps(answer, JSON_COMPACT);
+		evbuffer_add(evhttp_request_get_output_buffer(watch->request),
+			     text, strlen(text));
+		evhttp_connection_set_closecb(watch->connection, NULL, NULL);
+		evhttp_send_reply(watch->request, status, NULL, NULL);
+		free(text);
+	}
+	json_decref(answer);
+	return is_due;
+}
 
-	return text ? g_ascii_strtoll(text, NULL, 10)
-		    : fake_kv_store_revision(watches->store) + 1;
+/* Answers the watches that are due. */
+void fake_kv_watches_send(struct fake_kv_watches *watches, int64_t now_ms)
+{
+	for (guint i = watches->list->len; i-- > 0;) {
+		if (send_due(watches, g_ptr_array_index(watches->list, i),
+			     now_ms))
+			g_ptr_array_remove_index(watches->list, i);
+	}
 }
 
-/* Answers a watch request and keeps its connection. */
+/* Holds a call until there is a change, at most until end_ms. */
 void fake_kv_watches_open(struct fake_kv_watches *watches,
-			  struct evhttp_request *request, const json_t *body,
-			  bool is_stalled)
+			  struct evhttp_request *request, const char *prefix,
+			  int64_t after_revision, int64_t end_ms)
 {
 	struct fake_kv_watch *watch = g_new0(struct fake_kv_watch, 1);
 
 	watch->request = request;
 	watch->connection = evhttp_request_get_connection(request);
-	watch->range = json_deep_copy(json_object_get(body, "create_request"));
-	watch->next_revision = start_revision(watches, watch);
+	watch->prefix = g_strdup(prefix);
+	watch->after_revision = after_revision;
+	watch->end_ms = end_ms;
 	evhttp_connection_set_closecb(watch->connection, on_closed, watches);
-	evhttp_send_reply_start(request, STATUS_OK, "OK");
-	fake_kv_watch_send(watch,
-			   json_pack("{s:o, s:b}", "header",
-				     fake_kv_store_header(watches->store),
-				     "created", true));
 	g_ptr_array_add(watches->list, watch);
-	if (!is_stalled)
-		send_events(watches, watch);
 }
 
-/* Closes all watches; the next event finds the connection gone. */
+/* Closes the connections of all watches. */
 void fake_kv_watches_cut(struct fake_kv_watches *watches)
 {
 	for (guint i = 0; i < watches->list->len; i++) {
--- a/task/include/task/tcp_option.h
+++ b/task/include/task/tcp_option.h
@@ -5,5 +5,6 @@
 
 /* Options of TCP sockets that libevent has no word for. */
 void tcp_option_no_delay(evutil_socket_t fd);
+void tcp_option_detect_dead(evutil_socket_t fd);
 
 #endif
--- a/wire/include/wire/kv_entry.h
+++ b/wire/include/wire/kv_entry.h
@@ -16,6 +16,7 @@
 	bool is_deleted;
 };
 
+struct kv_entry *kv_entry_copy(const struct kv_entry *entry);
 void kv_entry_free(struct kv_entry *entry);
 
 #endif
--- a/wire/include/wire/kv_reply.h
+++ b/wire/include/wire/kv_reply.h
@@ -7,12 +7,14 @@
 /*
  * An answer of the platform's service: the store's revision, the entries read
  * or, where a comparison failed, the entry it failed against. A watch's reply
- * may say that the revision it was to start from has been compacted.
+ * may say that the revision it was to start from has been compacted, and a
+ * page of a range that more pages follow.
  */
 struct kv_reply {
 	int64_t store_revision;
 	bool is_succeeded;
 	bool is_compacted;
+	bool has_more;
 	int64_t lease_id;
 	int64_t ttl_s;
 	GPtrArray *entries;
--- /dev/null
+++ b/wire/src/peer_codec.c
@@ -0,0 +1,51 @@
+#include <wire/peer_codec.h>
+
+#include <core/zone.h>
+#include <glib.h>
+#include <jansson.h>
+#include <string.h>
+
+/* Returns the key of a node; the caller frees it. */
+char *peer_codec_key(const char *node_name)
+{
+	return g_strconcat(PEER_KEY_PREFIX, node_name, NULL);
+}
+
+/* Writes what a node says of itself; the caller frees the text. */
+char *peer_codec_encode(const struct endpoint *endpoint, const char *zone)
+{
+	char address[ENDPOINT_TEXT_BYTES];
+	json_t *root =
+		json_pack("{s:s, s:s}", "peers",
+			  endpoint_format(endpoint, address), "zone", zone);
+	char *dumped = json_dumps(root, JSON_COMPACT);
+	char *text = g_strdup(dumped);
+
+	free(dumped);
+	json_decref(root);
+	return text;
+}
+
+/* Reads a node's entry; false for another key or an unreadable value. */
+bool peer_codec_decode(struct relay_peer *peer, const char *key,
+		       const char *value, uint32_t value_bytes)
+{
+	json_t *root;
+	const char *address;
+	const char *zone;
+	bool is_read;
+
+	if (!g_str_has_prefix(key, PEER_KEY_PREFIX))
+		return false;
+	root = json_loadb(value, value_bytes, 0, NULL);
+	address = json_string_value(json_object_get(root, "peers"));
+	zone = json_string_value(json_object_get(root, "zone"));
+	is_read = address && zone && endpoint_parse(&peer->endpoint, address);
+	if (is_read) {
+		peer->node_id =
+			relay_peer_id_from_name(key + strlen(PEER_KEY_PREFIX));
+		peer->zone_id = zone_id_from_name(zone);
+	}
+	json_decref(root);
+	return is_read;
+}
--- /dev/null
+++ b/wire/src/relay_codec.c
@@ -0,0 +1,110 @@
+#include <wire/relay_codec.h>
+
+#include <relay.h>
+#include <rpc/rpc.h>
+#include <string.h>
+#include <wire/procedure.h>
+
+static bool xdr_loads(XDR *xdrs, struct relay_message *message)
+{
+	struct relay_wire_load rows[RELAY_WIRE_LOADS_MAX];
+	struct relay_wire_loads wire = {.node_id = message->node_id};
+
+	wire.loads.loads_val = rows;
+	wire.loads.loads_len = message->load_count;
+	for (uint32_t i = 0; i < message->load_count; i++) {
+		rows[i].tag = message->loads[i].tag;
+		rows[i].open_count = message->loads[i].open_count;
+	}
+	if (!xdr_relay_wire_loads(xdrs, &wire))
+		return false;
+	message->node_id = wire.node_id;
+	message->load_count = wire.loads.loads_len;
+	for (uint32_t i = 0; i < message->load_count; i++) {
+		message->loads[i].tag = rows[i].tag;
+		message->loads[i].open_count = rows[i].open_count;
+	}
+	return true;
+}
+
+static bool xdr_moved(XDR *xdrs, struct relay_message *message)
+{
+	struct relay_wire_print rows[RELAY_WIRE_FLOWS_MAX];
+	struct relay_wire_moved wire = {.node_id = message->node_id};
+
+	wire.flows.flows_val = rows;
+	wire.flows.flows_len = message->flow_count;
+	for (uint32_t i = 0; i < message->flow_count; i++) {
+		rows[i].high = message->flows[i].high;
+		rows[i].low = message->flows[i].low;
+	}
+	if (!xdr_relay_wire_moved(xdrs, &wire))
+		return false;
+	message->node_id = wire.node_id;
+	message->flow_count = wire.flows.flows_len;
+	for (uint32_t i = 0; i < message->flow_count; i++) {
+		message->flows[i].high = rows[i].high;
+		message->flows[i].low = rows[i].low;
+	}
+	return true;
+}
+
+static bool (*const bodies[RELAY_MESSAGE_KIND_COUNT])(
+	XDR *xdrs, struct relay_message *message) = {
+	[RELAY_MESSAGE_LOADS] = xdr_loads,
+	[RELAY_MESSAGE_MOVED] = xdr_moved,
+};
+
+/*
+ * Writes a message as a one-way ONC RPC call (RFC 5531) without
+ * authentication: its sender is known by its address. Returns the length, 0
+ * when the bytes do not suffice.
+ */
+uint32_t relay_codec_encode(const struct relay_message *message, uint8_t *bytes,
+			    uint32_t size_bytes)
+{
+	struct relay_message copy = *message;
+	struct rpc_msg header = {.rm_direction = CALL};
+	XDR xdrs;
+
+	header.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+	header.rm_call.cb_prog = SHALLOT_PROGRAM;
+	header.rm_call.cb_vers = SHALLOT_VERSION_NUMBER;
+	header.rm_call.cb_proc = PROCEDURE_RELAY_FIRST + message->kind;
+	xdrmem_create(&xdrs, (char *)bytes, size_bytes, XDR_ENCODE);
+	if (!xdr_callmsg(&xdrs, &header) ||
+	    !bodies[message->kind](&xdrs, &copy))
+		return 0;
+	return xdr_getpos(&xdrs);
+}
+
+static bool read_kind(struct relay_message *message, XDR *xdrs)
+{
+	char credentials[MAX_AUTH_BYTES];
+	char verifier[MAX_AUTH_BYTES];
+	struct rpc_msg header = {.rm_xid = 0};
+	uint32_t kind;
+
+	header.rm_call.cb_cred.oa_base = credentials;
+	header.rm_call.cb_verf.oa_base = verifier;
+	if (!xdr_callmsg(xdrs, &header) ||
+	    header.rm_call.cb_prog != SHALLOT_PROGRAM ||
+	    header.rm_call.cb_vers != SHALLOT_VERSION_NUMBER ||
+	    header.rm_call.cb_proc < PROCEDURE_RELAY_FIRST)
+		return false;
+	kind = header.rm_call.cb_proc - PROCEDURE_RELAY_FIRST;
+	message->kind = (enum relay_message_kind)kind;
+	return kind < RELAY_MESSAGE_KIND_COUNT;
+}
+
+/* Reads a message; false for one that is cut short, too long or unknown. */
+bool relay_codec_decode(struct relay_message *message, const uint8_t *bytes,
+			uint32_t length_bytes)
+{
+	XDR xdrs;
+
+	memset(message, 0, sizeof(*message));
+	xdrmem_create(&xdrs, (char *)bytes, length_bytes, XDR_DECODE);
+	return read_kind(message, &xdrs) &&
+	       bodies[message->kind](&xdrs, message);
+}
--- /dev/null
+++ b/wire/x/relay.x
@@ -0,0 +1,29 @@
+/*
+ * Bodies of the messages between nodes that forward by tag, version 1. Later
+ * versions append; readers ignore what follows the fields they know.
+ */
+const RELAY_WIRE_LOADS_MAX = 160;
+const RELAY_WIRE_FLOWS_MAX = 80;
+
+/* How many open flows the sender has at a target. */
+struct relay_wire_load {
+	unsigned int tag;
+	unsigned int open_count;
+};
+
+struct relay_wire_loads {
+	unsigned hyper node_id;
+	relay_wire_load loads<RELAY_WIRE_LOADS_MAX>;
+};
+
+/* The 128 bits that name a flow. */
+struct relay_wire_print {
+	unsigned hyper high;
+	unsigned hyper low;
+};
+
+/* Flows that the sender has from now on. */
+struct relay_wire_moved {
+	unsigned hyper node_id;
+	relay_wire_print flows<RELAY_WIRE_FLOWS_MAX>;
+};
