Read the store whole when a watch behind a dropped history stays silent

When the store dropped its history a follower went on by a watch from its last revision, and the store left that call unanswered for 5.6 s; the node kept an older configuration.

Ruled out: the reader of the store, which had read it whole at once.

Change: the first call of a resumed watch has a timeout of 700 ms, after which the store is read whole. A copy read from another node counts as live only when that node also answers a watch.

--- a/daemon/src/config_store.c
+++ b/daemon/src/config_store.c
@@ -93,6 +93,7 @@
 		.key = store->options.key,
 		.start_revision = store->store_revision + 1,
 		.first_wait_ms = WATCH_WAIT_MS,
+		.first_timeout_ms = WATCH_TIMEOUT_MS,
 		.wait_ms = WATCH_WAIT_MS,
 		.timeout_ms = WATCH_TIMEOUT_MS,
 		.context = store,
--- a/daemon/src/relay/feed_reader.c
+++ b/daemon/src/relay/feed_reader.c
@@ -20,8 +20,13 @@
 	[RELAY_SOURCE_PEER] = {500, 1000, 1500, 0},
 };
 
-/* Enough to tell a source that answers from one that does not. */
+/*
+ * A watch that goes on from a revision first asks for what is there already,
+ * which tells a source that answers from one that does not. A slow store
+ * takes some 400 ms.
+ */
 #define FIRST_WAIT_MS 1
+#define FIRST_TIMEOUT_MS 700
 
 struct feed_reader {
 	struct feed_reader_options options;
@@ -51,7 +56,8 @@
 }
 
 static bool open_watch(struct feed_reader *reader, int64_t revision,
-		       uint32_t first_wait_ms, GError **error)
+		       uint32_t first_wait_ms, uint32_t first_timeout_ms,
+		       GError **error)
 {
 	enum relay_source_kind kind = reader->options.source.kind;
 	struct kv_watch_options options = {
@@ -60,6 +66,7 @@
 		.is_prefix = true,
 		.start_revision = revision + 1,
 		.first_wait_ms = first_wait_ms,
+		.first_timeout_ms = first_timeout_ms,
 		.wait_ms = timings[kind].wait_ms,
 		.pause_ms = timings[kind].pause_ms,
 		.timeout_ms = timings[kind].watch_timeout_ms,
@@ -73,14 +80,24 @@
 	return reader->watch != NULL;
 }
 
+/* A node may hold an old copy; whether it follows the store shows at once. */
+static bool watch_behind(struct feed_reader *reader, int64_t revision)
+{
+	enum relay_source_kind kind = reader->options.source.kind;
+
+	if (kind == RELAY_SOURCE_PEER)
+		return open_watch(reader, revision, FIRST_WAIT_MS,
+				  FIRST_TIMEOUT_MS, NULL);
+	return open_watch(reader, revision, timings[kind].wait_ms,
+			  timings[kind].watch_timeout_ms, NULL);
+}
+
 static void on_read(void *context, enum kv_outcome outcome,
 		    const struct kv_reply *reply, const GError *error)
 {
 	struct feed_reader *reader = context;
-	uint32_t wait_ms = timings[reader->options.source.kind].wait_ms;
-
 	if (outcome != KV_DONE || reply->store_revision <= 0 ||
-	    !open_watch(reader, reply->store_revision, wait_ms, NULL)) {
+	    !watch_behind(reader, reply->store_revision)) {
 		reader->options.on_ended(reader->options.context, false);
 		return;
 	}
@@ -93,7 +110,7 @@
 
 	if (reader->options.revision != 0)
 		return open_watch(reader, reader->options.revision,
-				  FIRST_WAIT_MS, error);
+				  FIRST_WAIT_MS, FIRST_TIMEOUT_MS, error);
 	kv_client_range(reader->client, ALL_KEYS, true, &callback);
 	return true;
 }
--- a/daemon/src/relay/feed_task.c
+++ b/daemon/src/relay/feed_task.c
@@ -38,6 +38,7 @@
 	uint64_t ended_call_count;
 	bool is_live;
 	bool is_whole_needed;
+	bool has_answered;
 };
 
 static const char *const source_names[] = {
@@ -111,6 +112,15 @@
 		  "revision=%" PRId64, reply->store_revision);
 }
 
+static void on_answer(void *context)
+{
+	struct feed_task *feed = context;
+
+	feed->has_answered = true;
+	relay_sources_worked(feed->sources);
+	set_live(feed, true);
+}
+
 /* A node that is behind what this one knows is of no use. */
 static void on_whole(void *context, const struct kv_reply *reply)
 {
@@ -124,9 +134,9 @@
 	}
 	counter_set_add(feed->counters, FEED_WHOLE_READS, 1);
 	feed->is_whole_needed = false;
-	relay_sources_worked(feed->sources);
 	kv_mirror_load(feed->mirror, reply);
-	set_live(feed, true);
+	if (is_direct(feed))
+		on_answer(feed);
 	log_write(feed->log, LOG_LEVEL_NOTICE, "store_read",
 		  "source=%s entries=%u revision=%" PRId64,
 		  source_names[feed->source.kind], reply->entries->len,
@@ -142,12 +152,11 @@
 	post_news(feed, reply, false);
 }
 
-static void on_answer(void *context)
+/* A store that drops its history may leave a watch behind it unanswered. */
+static bool is_watch_unanswered(const struct feed_task *feed)
 {
-	struct feed_task *feed = context;
-
-	relay_sources_worked(feed->sources);
-	set_live(feed, true);
+	return is_direct(feed) && !feed->has_answered &&
+	       !feed->is_whole_needed;
 }
 
 /* A source that has forgotten its history is read whole, the same one. */
@@ -155,8 +164,14 @@
 {
 	struct feed_task *feed = context;
 
+	char text[ENDPOINT_TEXT_BYTES];
+
 	counter_set_add(feed->counters, FEED_LOST, 1);
-	if (is_compacted)
+	log_write(feed->log, LOG_LEVEL_INFO, "feed_ended",
+		  "source=%s address=%s reason=%s",
+		  source_names[feed->source.kind], source_text(feed, text),
+		  is_compacted ? "compacted" : "no_answer");
+	if (is_compacted || is_watch_unanswered(feed))
 		feed->is_whole_needed = true;
 	else
 		relay_sources_failed(feed->sources, task_now_ms());
@@ -195,6 +210,7 @@
 	int64_t now_ms = task_now_ms();
 
 	end_reader(feed);
+	feed->has_answered = false;
 	set_live(feed, false);
 	feed->source = relay_sources_next(feed->sources, now_ms);
 	if (feed->source.kind == RELAY_SOURCE_NONE)
