Let nodes with much bandwidth read the store for the others

A reader with a link of 10 Mbit/s sent each configuration of some 80 KB to 31 followers, several a second; for 2 s its followers heard of nothing.

Ruled out: the store, whose watch had told the reader in time.

Change: nodes enter their bandwidth in the store and those with most of it are the readers, one more for each 32 nodes. Readers go back to the store after trouble; others leave it after 2 s, and until then read it less often.

--- a/core/include/core/relay_peer.h
+++ b/core/include/core/relay_peer.h
@@ -3,10 +3,14 @@
 
 #include <core/endpoint.h>
 
-/* Another node, as it entered itself in the store; the id hashes its name. */
+/*
+ * Another node, as it entered itself in the store; the id hashes its name.
+ * Nodes with much bandwidth read the store for the others.
+ */
 struct relay_peer {
 	uint64_t node_id;
 	uint32_t zone_id;
+	uint32_t link_mbps;
 	struct endpoint endpoint;
 };
 
--- a/core/src/relay/relay_sources.c
+++ b/core/src/relay/relay_sources.c
@@ -2,18 +2,23 @@
 
 #include <core/node.h>
 
-/* Two nodes read the store, so that one may die without a gap. */
-#define READER_COUNT 2
+/*
+ * Two nodes read the store, so that one may die without a gap, and one more
+ * for each 32: a configuration of 60 KB for 32 followers takes a link of 200
+ * Mbit/s some 100 ms.
+ */
+#define READER_COUNT_LEAST 2
+#define FOLLOWER_COUNT_MAX 32
 
 /* Nodes that are asked in a row before the store is asked again. */
 #define PEER_TRY_COUNT 2
 
 /*
- * How long one that failed is left alone: a killed node is back within
- * seconds, a store that refuses is asked more and more seldom. A call to the
+ * How long one that failed is left alone: a node that only lost
+ * the store has it back soon, a store that refuses is asked more and more seldom. A call to the
  * store costs, one to a node does not.
  */
-#define PEER_PAUSE_MS 3000
+#define PEER_PAUSE_MS 1000
 #define STORE_PAUSE_MS 150
 #define STORE_PAUSE_MAX_MS 1500
 
@@ -65,10 +70,12 @@
 
 static gint compare_rank(gconstpointer a, gconstpointer b)
 {
-	uint64_t left = rank_of(a);
-	uint64_t right = rank_of(b);
+	const struct candidate *left = a;
+	const struct candidate *right = b;
 
-	return left < right ? 1 : left > right ? -1 : 0;
+	if (left->peer.link_mbps != right->peer.link_mbps)
+		return left->peer.link_mbps < right->peer.link_mbps ? 1 : -1;
+	return rank_of(left) < rank_of(right) ? 1 : -1;
 }
 
 static const struct candidate *find(const GArray *list, uint64_t node_id)
@@ -121,6 +128,14 @@
 	return now_ms < candidate->paused_until_ms;
 }
 
+static uint32_t reader_count(const struct relay_sources *sources)
+{
+	uint32_t count = (sources->peers->len + FOLLOWER_COUNT_MAX - 1) /
+			 FOLLOWER_COUNT_MAX;
+
+	return MAX(count, READER_COUNT_LEAST);
+}
+
 /*
  * Tells whether this node is among the first that are not known to have
  * failed, and so reads the store.
@@ -135,7 +150,7 @@
 			&g_array_index(sources->peers, struct candidate, i);
 
 		if (candidate->peer.node_id == sources->self_id)
-			return before_count < READER_COUNT;
+			return before_count < reader_count(sources);
 		if (!is_paused(candidate, now_ms))
 			before_count++;
 	}
@@ -206,7 +221,8 @@
 	int32_t peer = -1;
 
 	if (may_ask_peer && (!is_reader || is_store_paused))
-		peer = choose_peer(sources, list, READER_COUNT, now_ms);
+		peer = choose_peer(sources, list, reader_count(sources),
+				   now_ms);
 	if (peer >= 0)
 		return use_peer(sources, list, peer);
 	if (!is_store_paused)
--- a/daemon/include/daemon/relay_settings.h
+++ b/daemon/include/daemon/relay_settings.h
@@ -20,6 +20,7 @@
 	enum delivery_mode mode;
 	struct endpoint listen_peers;
 	char *seeds;
+	uint32_t link_mbps;
 };
 
 #endif
--- a/daemon/src/relay/feed_reader.c
+++ b/daemon/src/relay/feed_reader.c
@@ -14,10 +14,9 @@
 	uint32_t read_timeout_ms;
 	uint32_t wait_ms;
 	uint32_t watch_timeout_ms;
-	uint32_t pause_ms;
 } timings[] = {
-	[RELAY_SOURCE_STORE] = {2000, 10000, 12000, 40},
-	[RELAY_SOURCE_PEER] = {500, 1000, 1500, 0},
+	[RELAY_SOURCE_STORE] = {2000, 10000, 12000},
+	[RELAY_SOURCE_PEER] = {500, 1000, 1500},
 };
 
 /*
@@ -68,7 +67,7 @@
 		.first_wait_ms = first_wait_ms,
 		.first_timeout_ms = first_timeout_ms,
 		.wait_ms = timings[kind].wait_ms,
-		.pause_ms = timings[kind].pause_ms,
+		.pause_ms = reader->options.pause_ms,
 		.timeout_ms = timings[kind].watch_timeout_ms,
 		.context = reader,
 		.on_answer = on_watch_answer,
--- a/daemon/src/relay/feed_reader.h
+++ b/daemon/src/relay/feed_reader.h
@@ -12,7 +12,8 @@
 struct feed_reader;
 
 /*
- * revision 0 reads all first, another watches from there. on_whole gets a
+ * revision 0 reads all first, another watches from there; after changes a
+ * watch pauses for pause_ms, so that the next ones come together. on_whole gets a
  * whole reading, on_changes what a watch told, on_answer runs with each answer
  * of a watch, on_ended once; a compacted source has to be read whole.
  */
@@ -21,6 +22,7 @@
 	struct relay_source source;
 	struct endpoint store;
 	int64_t revision;
+	uint32_t pause_ms;
 	void *context;
 	void (*on_whole)(void *context, const struct kv_reply *reply);
 	void (*on_changes)(void *context, const struct kv_reply *reply);
--- a/daemon/src/relay/feed_task.c
+++ b/daemon/src/relay/feed_task.c
@@ -18,6 +18,15 @@
 /* How often a better source is looked for, and the node's entry is checked. */
 #define TICK_MS 500
 
+/*
+ * A node that had to read the store itself stays with it for a while, as those
+ * that it followed have just failed, and reads it less often than a node that
+ * reads for others: each call costs.
+ */
+#define DIRECT_LEAST_MS 2000
+#define READER_PAUSE_MS 40
+#define DIRECT_PAUSE_MS 300
+
 /* A store call that writes this node's entry. */
 #define WRITE_TIMEOUT_MS 2000
 
@@ -36,6 +45,7 @@
 	struct timer *retry_timer;
 	GRand *random;
 	uint64_t ended_call_count;
+	int64_t source_ms;
 	bool is_live;
 	bool is_whole_needed;
 	bool has_answered;
@@ -178,6 +188,15 @@
 	timer_once(feed->retry_timer, 0);
 }
 
+static uint32_t pause_ms(const struct feed_task *feed)
+{
+	if (!is_direct(feed))
+		return 0;
+	return relay_sources_is_reader(feed->sources, task_now_ms())
+		       ? READER_PAUSE_MS
+		       : DIRECT_PAUSE_MS;
+}
+
 static bool open_reader(struct feed_task *feed)
 {
 	struct feed_reader_options options = {
@@ -187,6 +206,7 @@
 		.revision = feed->is_whole_needed
 				    ? 0
 				    : kv_mirror_revision(feed->mirror),
+		.pause_ms = pause_ms(feed),
 		.context = feed,
 		.on_whole = on_whole,
 		.on_changes = on_changes,
@@ -213,6 +233,7 @@
 	feed->has_answered = false;
 	set_live(feed, false);
 	feed->source = relay_sources_next(feed->sources, now_ms);
+	feed->source_ms = now_ms;
 	if (feed->source.kind == RELAY_SOURCE_NONE)
 		timer_once(feed->retry_timer,
 			   (uint32_t)MAX(feed->source.retry_ms - now_ms, 1));
@@ -225,11 +246,17 @@
 	read_next(context);
 }
 
-/* A node that reads the store though others do goes over to one of them. */
+/*
+ * After trouble a node may read the store though others do that for it, or
+ * read from a node though others rely on it to read the store.
+ */
 static bool is_better_elsewhere(const struct feed_task *feed)
 {
-	return feed->is_live && is_direct(feed) &&
-	       !relay_sources_is_reader(feed->sources, task_now_ms());
+	int64_t now_ms = task_now_ms();
+
+	return feed->is_live && now_ms - feed->source_ms >= DIRECT_LEAST_MS &&
+	       is_direct(feed) !=
+		       relay_sources_is_reader(feed->sources, now_ms);
 }
 
 static void on_tick(void *context)
--- a/daemon/src/relay/node_entry.c
+++ b/daemon/src/relay/node_entry.c
@@ -34,7 +34,8 @@
 	entry->log = log;
 	entry->key = peer_codec_key(settings->node_name);
 	entry->value = peer_codec_encode(&settings->relay.listen_peers,
-					 settings->zone);
+					 settings->zone,
+					 settings->relay.link_mbps);
 	return entry;
 }
 
--- a/daemon/src/settings_schema.c
+++ b/daemon/src/settings_schema.c
@@ -33,6 +33,7 @@
 	 "home"},
 	{"peers", "seeds", SETTING_ENDPOINT_LIST, AT(relay.seeds), 0, 4095,
 	 NEED_NEVER, NULL},
+	{"peers", "link_mbps", SETTING_RATE, AT(relay.link_mbps), 0, 1000000, NEED_NEVER, "0"},
 	{"services", "*", SETTING_SERVICE_LISTEN, AT(requests), 0, 0,
 	 NEED_NEVER, NULL},
 	{"requests", "connection_limit", SETTING_U32,
@@ -160,6 +161,19 @@
 					  NULL);
 }
 
+static bool assign_rate(uint32_t *slot, const struct setting_row *row,
+			const char *value)
+{
+	char *end;
+	double rate = g_ascii_strtod(value, &end);
+
+	if (end == value || *end != '\0' || !(rate >= (double)row->min) ||
+	    !(rate <= (double)row->max))
+		return false;
+	*slot = (uint32_t)rate;
+	return true;
+}
+
 /* Adds a service's address; a name may come once. */
 static bool add_service_listen(struct request_settings *requests,
 			       const char *name, const char *value)
@@ -212,6 +226,8 @@
 			return false;
 		*(uint64_t *)slot = number;
 		return true;
+	case SETTING_RATE:
+		return assign_rate(slot, row, value);
 	case SETTING_SERVICE_LISTEN:
 		return add_service_listen(slot, key, value);
 	}
@@ -251,6 +267,7 @@
 		return *(const enum delivery_mode *)left ==
 		       *(const enum delivery_mode *)right;
 	case SETTING_LEVEL:
+	case SETTING_RATE:
 	case SETTING_U32:
 		return *(const uint32_t *)left == *(const uint32_t *)right;
 	case SETTING_U64:
@@ -288,6 +305,7 @@
 		snprintf(text, text_bytes,
 			 "a service name once, and its address:port");
 		break;
+	case SETTING_RATE:
 	case SETTING_U32:
 	case SETTING_U64:
 		snprintf(text, text_bytes,
--- a/daemon/src/settings_schema.h
+++ b/daemon/src/settings_schema.h
@@ -11,6 +11,8 @@
 	SETTING_ENDPOINT_LIST,
 	SETTING_U32,
 	SETTING_U64,
+	/* A rate that may have a fraction, which is cut off. */
+	SETTING_RATE,
 	SETTING_LEVEL,
 	SETTING_DELIVERY,
 	/* Any key: the name of a service, with its address as the value. */
--- a/wire/include/wire/peer_codec.h
+++ b/wire/include/wire/peer_codec.h
@@ -7,7 +7,8 @@
 #define PEER_KEY_PREFIX "shallotstream/nodes/"
 
 char *peer_codec_key(const char *node_name);
-char *peer_codec_encode(const struct endpoint *endpoint, const char *zone);
+char *peer_codec_encode(const struct endpoint *endpoint, const char *zone,
+			uint32_t link_mbps);
 bool peer_codec_decode(struct relay_peer *peer, const char *key,
 		       const char *value, uint32_t value_bytes);
 
--- a/wire/src/peer_codec.c
+++ b/wire/src/peer_codec.c
@@ -12,12 +12,14 @@
 }
 
 /* Writes what a node says of itself; the caller frees the text. */
-char *peer_codec_encode(const struct endpoint *endpoint, const char *zone)
+char *peer_codec_encode(const struct endpoint *endpoint, const char *zone,
+			uint32_t link_mbps)
 {
 	char address[ENDPOINT_TEXT_BYTES];
 	json_t *root =
-		json_pack("{s:s, s:s}", "peers",
-			  endpoint_format(endpoint, address), "zone", zone);
+		json_pack("{s:s, s:s, s:I}", "peers",
+			  endpoint_format(endpoint, address), "zone", zone,
+ "link_mbps", (json_int_t)link_mbps);
 	char *dumped = json_dumps(root, JSON_COMPACT);
 	char *text = g_strdup(dumped);
 
@@ -45,6 +47,8 @@
 		peer->node_id =
 			relay_peer_id_from_name(key + strlen(PEER_KEY_PREFIX));
 		peer->zone_id = zone_id_from_name(zone);
+		peer->link_mbps = (uint32_t)json_integer_value(
+			json_object_get(root, "link_mbps"));
 	}
 	json_decref(root);
 	return is_read;
