Test forwarding by tag from its parts to a whole node

The stand-in store no longer tells watches of changes while it is down, and its calls have a file of their own.

--- /dev/null
+++ b/core/test/relay_parts_test.c
@@ -0,0 +1,140 @@
+/* Health, round trips and reports: small parts, one table each. */
+#include <core/relay_health.h>
+#include <core/relay_loads.h>
+#include <core/relay_round_trip.h>
+#include <core/relay_tag.h>
+#include <fakes/test_main.h>
+
+static const struct relay_health_limits limits = {
+	.unanswered_count = 2, .avoid_ms = 100, .avoid_max_ms = 300};
+
+/* Unanswered packets at some times, and until when the target is avoided. */
+static const struct {
+	const char *name;
+	int64_t answered_ms;
+	int64_t sent_ms[4];
+	int64_t avoided_until_ms;
+} health_rows[] = {
+	{"one-is-chance", 0, {10}, 0},
+	{"two-in-a-row", 0, {10, 20}, 120},
+	{"packets-from-before-the-last-answer", 50, {10, 20, 30, 40}, 0},
+	{"trial-that-fails-needs-no-second", 0, {10, 20, 200}, 400},
+	{"doubling-is-bounded", 0, {10, 20, 200, 500}, 800},
+};
+
+START_TEST(test_health)
+{
+	struct relay_health health = {.answered_ms = 0};
+
+	test_row("relay_health", health_rows[_i].name);
+	if (health_rows[_i].answered_ms)
+		relay_health_answered(&health, health_rows[_i].answered_ms);
+	for (uint32_t i = 0; i < 4 && health_rows[_i].sent_ms[i]; i++)
+		relay_health_unanswered(&health, &limits,
+					health_rows[_i].sent_ms[i],
+					health_rows[_i].sent_ms[i]);
+	ck_assert_int_eq(health.avoided_until_ms,
+			 health_rows[_i].avoided_until_ms);
+	relay_health_answered(&health, 1000);
+	ck_assert(!relay_health_is_avoided(&health, 1000));
+}
+END_TEST
+
+/* Handshakes of one length, and the bounds of the timeout after twenty. */
+static const struct {
+	const char *name;
+	uint32_t sample_ms;
+	uint32_t count;
+	uint32_t timeout_ms;
+} trip_rows[] = {
+	{"no-sample", 0, 0, 30},
+	{"within-a-region", 7, 20, 30},
+	{"far-away", 80, 40, 80},
+	{"never-beyond-the-callers-own-copy", 500, 20, 120},
+};
+
+START_TEST(test_round_trip)
+{
+	struct relay_round_trip trip = {.smoothed_us = 0};
+	uint32_t timeout_ms;
+
+	test_row("relay_round_trip", trip_rows[_i].name);
+	for (uint32_t i = 0; i < trip_rows[_i].count; i++)
+		relay_round_trip_add(&trip, trip_rows[_i].sample_ms);
+	timeout_ms = relay_round_trip_timeout_ms(&trip);
+	ck_assert_uint_ge(timeout_ms, trip_rows[_i].timeout_ms);
+	ck_assert_uint_le(timeout_ms, trip_rows[_i].timeout_ms + 5);
+}
+END_TEST
+
+/* Reports of two nodes on one target, and what stands at the end. */
+static const struct {
+	const char *name;
+	uint32_t first[2];
+	uint32_t second[2];
+	int64_t swept_ms;
+	uint32_t sum;
+} load_rows[] = {
+	{"two-nodes-add-up", {3, 4}, {3, 4}, 0, 7},
+	{"later-word-replaces-the-first", {3, 4}, {1, 0}, 0, 1},
+	{"silent-nodes-are-forgotten", {3, 4}, {3, 4}, 5000, 0},
+};
+
+START_TEST(test_loads)
+{
+	struct relay_directory *directory = relay_directory_new();
+	struct relay_loads *loads = relay_loads_new(directory);
+	struct target target = {.target_id = 5, .service_id = 1};
+	const struct relay_target *known;
+
+	test_row("relay_loads", load_rows[_i].name);
+	relay_directory_put(directory, &target, 0, 0);
+	for (uint32_t node = 0; node < 2; node++) {
+		struct relay_load first[] = {
+			{relay_tag_of(5), load_rows[_i].first[node]},
+			{relay_tag_of(6), 9}};
+		struct relay_load second[] = {
+			{relay_tag_of(5), load_rows[_i].second[node]}};
+
+		relay_loads_take(loads, node + 1, first, 2, 0);
+		relay_loads_take(loads, node + 1, second, 1, 10);
+	}
+	relay_loads_sweep(loads, load_rows[_i].swept_ms);
+	known = relay_directory_find(directory, relay_tag_of(5));
+	ck_assert_uint_eq(known->peer_open_count, load_rows[_i].sum);
+	relay_loads_free(loads);
+	relay_directory_free(directory);
+}
+END_TEST
+
+/* Ids and their tags. */
+static const struct {
+	const char *name;
+	uint64_t target_id;
+	uint32_t tag;
+} tag_rows[] = {
+	{"id-of-32-bits-is-its-tag", 0x7f3a91c2, 0x7f3a91c2},
+	{"longer-id-is-folded", 0x100000002, 3},
+	{"no-tag-is-0", 0x100000001, 1},
+};
+
+START_TEST(test_tag)
+{
+	test_row("relay_tag", tag_rows[_i].name);
+	ck_assert_uint_eq(relay_tag_of(tag_rows[_i].target_id),
+			  tag_rows[_i].tag);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("relay_parts");
+	TCase *tcase = tcase_create("relay_parts");
+
+	tcase_add_loop_test(tcase, test_health, 0, G_N_ELEMENTS(health_rows));
+	tcase_add_loop_test(tcase, test_round_trip, 0, G_N_ELEMENTS(trip_rows));
+	tcase_add_loop_test(tcase, test_loads, 0, G_N_ELEMENTS(load_rows));
+	tcase_add_loop_test(tcase, test_tag, 0, G_N_ELEMENTS(tag_rows));
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
--- /dev/null
+++ b/daemon/test/feed_task_test.c
@@ -0,0 +1,253 @@
+/* How a node learns of changes while the store or other nodes misbehave. */
+#include "relay_fixture.h"
+
+#include <daemon/feed_task.h>
+#include <daemon/news_message.h>
+#include <fakes/test_main.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <string.h>
+
+#define STEP_COUNT_MAX 10
+
+/* Longer than any timeout of the feed on its way; a row takes a second. */
+#define PATIENCE_MS 15000
+
+enum verb {
+	END,
+	/* The operator writes version a, whatever the fault. */
+	WRITE,
+	WRITE_GARBAGE,
+	/* The store starts to misbehave, or to serve again. */
+	DOWN,
+	REFUSE,
+	SILENT,
+	SERVE,
+	DROP_HISTORY,
+	/* The node, or one that reads from it, starts. */
+	START,
+	START_FOLLOWER,
+	/* The node or its follower has version a within the patience. */
+	KNOWS,
+	FOLLOWER_KNOWS,
+};
+
+struct step {
+	enum verb verb;
+	uint32_t a;
+};
+
+static const struct {
+	const char *name;
+	struct step steps[STEP_COUNT_MAX];
+} rows[] = {
+	{"reads-all-and-then-changes",
+	 {{WRITE, 1}, {START, 0}, {KNOWS, 1}, {WRITE, 2}, {KNOWS, 2}}},
+	{"store-down-at-the-start",
+	 {{WRITE, 1}, {DOWN, 0}, {START, 0}, {SERVE, 0}, {KNOWS, 1}}},
+	{"store-refuses-at-the-start",
+	 {{WRITE, 1}, {REFUSE, 429}, {START, 0}, {SERVE, 0}, {KNOWS, 1}}},
+	{"store-goes-down-and-comes-back",
+	 {{WRITE, 1},
+	  {START, 0},
+	  {KNOWS, 1},
+	  {DOWN, 0},
+	  {WRITE, 2},
+	  {SERVE, 0},
+	  {KNOWS, 2}}},
+	{"history-dropped-while-away",
+	 {{WRITE, 1},
+	  {START, 0},
+	  {KNOWS, 1},
+	  {DOWN, 0},
+	  {WRITE, 2},
+	  {DROP_HISTORY, 0},
+	  {SERVE, 0},
+	  {KNOWS, 2}}},
+	{"watch-stays-silent-behind-a-dropped-history",
+	 {{WRITE, 1},
+	  {START, 0},
+	  {KNOWS, 1},
+	  {DOWN, 0},
+	  {WRITE, 2},
+	  {DROP_HISTORY, 0},
+	  {SILENT, 0},
+	  {KNOWS, 2}}},
+	{"unreadable-configuration-changes-nothing",
+	 {{WRITE, 1},
+	  {START, 0},
+	  {KNOWS, 1},
+	  {WRITE_GARBAGE, 0},
+	  {WRITE, 3},
+	  {KNOWS, 3}}},
+	{"node-without-the-store-reads-from-another",
+	 {{WRITE, 1},
+	  {START, 0},
+	  {KNOWS, 1},
+	  {START_FOLLOWER, 0},
+	  {FOLLOWER_KNOWS, 1},
+	  {WRITE, 2},
+	  {FOLLOWER_KNOWS, 2}}},
+	{"node-that-starts-while-all-lost-the-store",
+	 {{WRITE, 1},
+	  {START, 0},
+	  {KNOWS, 1},
+	  {DOWN, 0},
+	  {START_FOLLOWER, 0},
+	  {FOLLOWER_KNOWS, 1}}},
+};
+
+/* A task that takes news and remembers the last version. */
+struct sink {
+	struct task *task;
+	atomic_uint version;
+};
+
+struct node {
+	struct settings settings;
+	struct sink sink;
+	struct feed_task *feed;
+};
+
+struct fixture {
+	struct fake_kv *kv;
+	struct fake_kv *dead_kv;
+	struct node node;
+	struct node follower;
+	char seeds[ENDPOINT_TEXT_BYTES];
+};
+
+static void handle(void *context, struct message *message)
+{
+	struct sink *sink = context;
+	struct news_message *news = (struct news_message *)message;
+
+	if (news->routes)
+		atomic_store(&sink->version, (uint32_t)relay_route_table_version(
+						     news->routes));
+	message_free(message);
+}
+
+static void start_node(struct node *node)
+{
+	struct task_options sink = {.name = "sink",
+				    .mailbox_capacity = 64,
+				    .context = &node->sink,
+				    .handle = handle};
+	struct feed_task_options feed = {.settings = &node->settings};
+	GError *error = NULL;
+
+	node->sink.task = task_new(&sink, NULL);
+	ck_assert(task_start(node->sink.task, NULL));
+	feed.sink = node->sink.task;
+	node->feed = feed_task_new(&feed, &error);
+	ck_assert(task_start(feed_task_task(node->feed), &error));
+}
+
+static void stop_node(struct node *node)
+{
+	if (!node->feed)
+		return;
+	task_stop(feed_task_task(node->feed));
+	task_free(node->sink.task);
+	feed_task_free(node->feed);
+}
+
+static void start_follower(struct fixture *fixture)
+{
+	struct fake_kv_fault down = {.is_down = true};
+	struct node *follower = &fixture->follower;
+
+	fixture->dead_kv = relay_fixture_store();
+	fake_kv_set_fault(fixture->dead_kv, &down);
+	follower->settings =
+		relay_fixture_settings("follower", fixture->dead_kv);
+	endpoint_format(&fixture->node.settings.relay.listen_peers,
+			fixture->seeds);
+	follower->settings.relay.seeds = fixture->seeds;
+	follower->settings.relay.listen_peers = (struct endpoint){
+		.addr = ip_addr_from_v4(0x7f000002),
+		.port = fixture->node.settings.relay.listen_peers.port,
+	};
+	start_node(follower);
+}
+
+static void wait_for(const struct node *node, uint32_t version)
+{
+	int64_t end_ms = task_now_ms() + PATIENCE_MS;
+
+	while (atomic_load(&node->sink.version) != version &&
+	       task_now_ms() < end_ms)
+		g_usleep(STEP_US);
+	ck_assert_uint_eq(atomic_load(&node->sink.version), version);
+}
+
+static void set_fault(struct fixture *fixture, const struct step *step)
+{
+	struct fake_kv_fault fault = {
+		.is_down = step->verb == DOWN,
+		.refusal_status = step->verb == REFUSE ? step->a : 0,
+		.is_watch_stalled = step->verb == SILENT,
+	};
+
+	fake_kv_set_fault(fixture->kv, &fault);
+}
+
+static void run(struct fixture *fixture, const struct step *step)
+{
+	switch (step->verb) {
+	case WRITE:
+		relay_fixture_configure(fixture->kv, step->a);
+		break;
+	case WRITE_GARBAGE:
+		fake_kv_put(fixture->kv, CONFIG_KEY, "{\"version\":2");
+		break;
+	case DROP_HISTORY:
+		fake_kv_compact(fixture->kv);
+		break;
+	case START:
+		start_node(&fixture->node);
+		break;
+	case START_FOLLOWER:
+		start_follower(fixture);
+		break;
+	case KNOWS:
+		wait_for(&fixture->node, step->a);
+		break;
+	case FOLLOWER_KNOWS:
+		wait_for(&fixture->follower, step->a);
+		break;
+	default:
+		set_fault(fixture, step);
+	}
+}
+
+START_TEST(test_row_of_steps)
+{
+	struct fixture fixture;
+
+	test_row("feed_task", rows[_i].name);
+	memset(&fixture, 0, sizeof(fixture));
+	fixture.kv = relay_fixture_store();
+	fixture.node.settings = relay_fixture_settings("node", fixture.kv);
+	for (const struct step *step = rows[_i].steps; step->verb != END;
+	     step++)
+		run(&fixture, step);
+	stop_node(&fixture.follower);
+	stop_node(&fixture.node);
+	fake_kv_free(fixture.kv);
+	fake_kv_free(fixture.dead_kv);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("feed_task");
+	TCase *tcase = tcase_create("feed_task");
+
+	signal(SIGPIPE, SIG_IGN);
+	tcase_set_timeout(tcase, 60);
+	tcase_add_loop_test(tcase, test_row_of_steps, 0, G_N_ELEMENTS(rows));
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
--- /dev/null
+++ b/daemon/test/relay_node_test.c
@@ -0,0 +1,259 @@
+/* A whole node that forwards by tag, between real sockets and a store. */
+#include "relay_fixture.h"
+
+#include <arpa/inet.h>
+#include <daemon/shallotd.h>
+#include <fakes/test_main.h>
+#include <netinet/in.h>
+#include <platform/echo_packet.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdatomic.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <wire/sock_addr.h>
+
+#define PATIENCE_MS 10000
+#define RECEIVE_TIMEOUT_MS 2000
+#define SILENCE_MS 300
+#define TARGET_KEY "servers/i-7f3a91c2"
+#define TARGET_ID 0x7f3a91c2
+#define CALLER_ADDRESS 0x7f000003
+#define FLAG_SYN 2
+#define FLAG_ACK 64
+#define FLAG_RST 16
+
+struct fixture {
+	struct fake_kv *kv;
+	struct settings settings;
+	struct shallotd *daemon;
+	int caller_fd;
+	int target_fd;
+	struct endpoint target;
+};
+
+static int bind_udp(const struct endpoint *endpoint)
+{
+	struct sockaddr_storage storage;
+	socklen_t length = sock_addr_from_endpoint(&storage, endpoint);
+	int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+
+	ck_assert_int_ge(fd, 0);
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&storage, length), 0);
+	return fd;
+}
+
+static void describe_target(struct fixture *fixture, const char *state)
+{
+	char address[ENDPOINT_TEXT_BYTES];
+	char *text = g_strdup_printf(
+		"{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"north-a\","
+		"\"concurrency\":3,\"state\":\"%s\",\"warmupRemainingMs\":0,"
+		"\"sequence\":1}",
+		endpoint_format(&fixture->target, address), state);
+
+	fake_kv_put(fixture->kv, TARGET_KEY, text);
+	g_free(text);
+}
+
+/* The platform's clients take what comes to the port that nodes listen on. */
+static void setup(struct fixture *fixture)
+{
+	struct endpoint caller = {.addr = ip_addr_from_v4(CALLER_ADDRESS)};
+	GError *error = NULL;
+
+	memset(fixture, 0, sizeof(*fixture));
+	fixture->kv = relay_fixture_store();
+	fixture->settings = relay_fixture_settings("node", fixture->kv);
+	fixture->target = loopback_free_endpoint();
+	fixture->target_fd = bind_udp(&fixture->target);
+	caller.port = fixture->settings.listen_packets.port;
+	fixture->caller_fd = bind_udp(&caller);
+	relay_fixture_configure(fixture->kv, 1);
+	describe_target(fixture, "ready");
+	fixture->daemon = shallotd_new(&fixture->settings, &error);
+	ck_assert_msg(!error, "%s", error ? error->message : "");
+}
+
+static void teardown(struct fixture *fixture)
+{
+	shallotd_free(fixture->daemon);
+	close(fixture->caller_fd);
+	close(fixture->target_fd);
+	fake_kv_free(fixture->kv);
+}
+
+/* A packet of a flow of the caller to 198.18.0.1 on a port. */
+static void send_packet(struct fixture *fixture, uint16_t flow, uint8_t flags,
+			uint16_t port, uint32_t tag, uint32_t length_bytes)
+{
+	struct relay_packet answer_to = {.tag = 0};
+	uint8_t bytes[ECHO_PACKET_HEADER_BYTES];
+	struct sockaddr_storage storage;
+	socklen_t length = sock_addr_from_endpoint(
+		&storage, &fixture->settings.listen_packets);
+
+	endpoint_parse(&answer_to.service, "127.0.0.3:1234");
+	endpoint_parse(&answer_to.caller, "198.18.0.1:1");
+	answer_to.service.port = flow;
+	answer_to.caller.port = port;
+	echo_packet_write_reset(bytes, &answer_to);
+	bytes[0] = flags;
+	echo_packet_set_tag(bytes, tag);
+	sendto(fixture->caller_fd, bytes, length_bytes, 0,
+	       (struct sockaddr *)&storage, length);
+}
+
+static ssize_t receive(int fd, uint8_t *bytes, size_t size_bytes,
+		       int timeout_ms)
+{
+	struct pollfd ready = {.fd = fd, .events = POLLIN};
+
+	if (poll(&ready, 1, timeout_ms) != 1)
+		return -1;
+	return recv(fd, bytes, size_bytes, 0);
+}
+
+/* Sends until the node knows enough to forward. */
+static void wait_until_forwarding(struct fixture *fixture)
+{
+	int64_t end_ms = task_now_ms() + PATIENCE_MS;
+	uint8_t bytes[ECHO_TARGET_ID_BYTES + ECHO_PACKET_BYTES_MAX];
+
+	do {
+		send_packet(fixture, 1, FLAG_ACK, 443, TARGET_ID,
+			    ECHO_PACKET_HEADER_BYTES);
+	} while (receive(fixture->target_fd, bytes, sizeof(bytes), 50) < 0 &&
+		 task_now_ms() < end_ms);
+	ck_assert_int_lt(task_now_ms(), end_ms);
+	while (receive(fixture->target_fd, bytes, sizeof(bytes), 100) >= 0)
+		;
+}
+
+/* A packet, and what target and caller get of it. */
+static const struct {
+	const char *name;
+	uint8_t flags;
+	uint16_t port;
+	uint32_t tag;
+	uint32_t length_bytes;
+	bool is_forwarded;
+	bool is_reset;
+} rows[] = {
+	{"opening", FLAG_SYN, 443, 0, 34, true, false},
+	{"data-with-its-tag", FLAG_ACK, 443, TARGET_ID, 34, true, false},
+	{"data-with-a-tag-of-nobody", FLAG_ACK, 443, 77, 34, false, false},
+	{"opening-to-no-service", FLAG_SYN, 444, 0, 34, false, true},
+	{"data-to-no-service", FLAG_ACK, 444, TARGET_ID, 34, false, true},
+	{"cut-packet", FLAG_SYN, 443, 0, 20, false, false},
+};
+
+START_TEST(test_packet)
+{
+	struct fixture fixture;
+	uint8_t bytes[ECHO_TARGET_ID_BYTES + ECHO_PACKET_BYTES_MAX];
+	uint8_t expected_id[ECHO_TARGET_ID_BYTES];
+	struct relay_packet packet;
+	ssize_t length_bytes;
+
+	test_row("relay_node", rows[_i].name);
+	setup(&fixture);
+	wait_until_forwarding(&fixture);
+	send_packet(&fixture, 2, rows[_i].flags, rows[_i].port, rows[_i].tag,
+		    rows[_i].length_bytes);
+	length_bytes = receive(fixture.target_fd, bytes, sizeof(bytes),
+			       rows[_i].is_forwarded ? RECEIVE_TIMEOUT_MS
+						     : SILENCE_MS);
+	ck_assert_int_eq(length_bytes > 0, rows[_i].is_forwarded);
+	if (rows[_i].is_forwarded) {
+		echo_packet_write_target_id(expected_id, TARGET_ID);
+		ck_assert_mem_eq(bytes, expected_id, sizeof(expected_id));
+		ck_assert(echo_packet_parse(
+			&packet, bytes + ECHO_TARGET_ID_BYTES,
+			(uint32_t)length_bytes - ECHO_TARGET_ID_BYTES));
+		ck_assert_uint_eq(packet.tag, TARGET_ID);
+	}
+	length_bytes =
+		receive(fixture.caller_fd, bytes, sizeof(bytes),
+			rows[_i].is_reset ? RECEIVE_TIMEOUT_MS : SILENCE_MS);
+	ck_assert_int_eq(length_bytes > 0, rows[_i].is_reset);
+	if (rows[_i].is_reset)
+		ck_assert_int_eq(bytes[0], FLAG_RST);
+	teardown(&fixture);
+}
+END_TEST
+
+/* A target that leaves gets the packets of its flows, and no new flow. */
+START_TEST(test_leaving_target)
+{
+	struct fixture fixture;
+	uint8_t bytes[ECHO_TARGET_ID_BYTES + ECHO_PACKET_BYTES_MAX];
+	int64_t end_ms = task_now_ms() + PATIENCE_MS;
+	uint16_t flow = 1;
+
+	test_row("relay_node", "leaving-target");
+	setup(&fixture);
+	wait_until_forwarding(&fixture);
+	describe_target(&fixture, "draining");
+	do {
+		send_packet(&fixture, ++flow, FLAG_SYN, 443, 0,
+			    ECHO_PACKET_HEADER_BYTES);
+	} while (receive(fixture.caller_fd, bytes, sizeof(bytes), 100) < 0 &&
+		 task_now_ms() < end_ms);
+	ck_assert_int_eq(bytes[0], FLAG_RST);
+	while (receive(fixture.target_fd, bytes, sizeof(bytes), 100) >= 0)
+		;
+	send_packet(&fixture, 1, FLAG_ACK, 443, TARGET_ID,
+		    ECHO_PACKET_HEADER_BYTES);
+	ck_assert_int_gt(receive(fixture.target_fd, bytes, sizeof(bytes),
+				 RECEIVE_TIMEOUT_MS),
+			 0);
+	teardown(&fixture);
+}
+END_TEST
+
+static void on_drained(void *context, bool is_drained)
+{
+	atomic_store((atomic_int *)context, is_drained ? 1 : -1);
+}
+
+/* A stop carries packets until they have gone elsewhere, then it is done. */
+START_TEST(test_drain)
+{
+	struct fixture fixture;
+	atomic_int drained = 0;
+	struct shallotd_drain_options options = {&drained, on_drained};
+	int64_t end_ms;
+	uint8_t bytes[ECHO_TARGET_ID_BYTES + ECHO_PACKET_BYTES_MAX];
+
+	test_row("relay_node", "drain");
+	setup(&fixture);
+	wait_until_forwarding(&fixture);
+	ck_assert(shallotd_drain(fixture.daemon, &options, NULL));
+	send_packet(&fixture, 1, FLAG_ACK, 443, TARGET_ID,
+		    ECHO_PACKET_HEADER_BYTES);
+	ck_assert_int_gt(receive(fixture.target_fd, bytes, sizeof(bytes),
+				 RECEIVE_TIMEOUT_MS),
+			 0);
+	end_ms = task_now_ms() + PATIENCE_MS;
+	while (atomic_load(&drained) == 0 && task_now_ms() < end_ms)
+		g_usleep(STEP_US);
+	ck_assert_int_eq(atomic_load(&drained), 1);
+	teardown(&fixture);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("relay_node");
+	TCase *tcase = tcase_create("relay_node");
+
+	signal(SIGPIPE, SIG_IGN);
+	tcase_set_timeout(tcase, 60);
+	tcase_add_loop_test(tcase, test_packet, 0, G_N_ELEMENTS(rows));
+	tcase_add_test(tcase, test_leaving_target);
+	tcase_add_test(tcase, test_drain);
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
--- a/fakes/include/fakes/fake_kv.h
+++ b/fakes/include/fakes/fake_kv.h
@@ -22,6 +22,8 @@
 void fake_kv_free(struct fake_kv *kv);
 struct endpoint fake_kv_endpoint(const struct fake_kv *kv);
 void fake_kv_set_fault(struct fake_kv *kv, const struct fake_kv_fault *fault);
+void fake_kv_put(struct fake_kv *kv, const char *key, const char *value);
+void fake_kv_remove(struct fake_kv *kv, const char *key);
 void fake_kv_compact(struct fake_kv *kv);
 void fake_kv_snapshot(struct fake_kv *kv);
 void fake_kv_restore(struct fake_kv *kv);
--- a/fakes/src/fake_kv.c
+++ b/fakes/src/fake_kv.c
@@ -1,11 +1,10 @@
 #include <fakes/fake_kv.h>
 
-#include "fake_kv_store.h"
+#include "fake_kv_call.h"
 #include "fake_kv_watches.h"
 #include "http_cut.h"
 
 #include <event2/buffer.h>
-#include <event2/keyvalq_struct.h>
 #include <inttypes.h>
 #include <pthread.h>
 #include <stdlib.h>
@@ -18,7 +17,6 @@
 
 #define MAILBOX_CAPACITY 64
 #define EXPIRE_INTERVAL_MS 100
-#define PAGE_COUNT 50
 #define STATUS_OK 200
 #define STATUS_UNAUTHORIZED 401
 #define STATUS_NOT_FOUND 404
@@ -51,89 +49,6 @@
 	char *text;
 };
 
-/* A call as it came in: path without its query, query, and body. */
-struct fake_kv_call {
-	const char *path;
-	struct evkeyvalq query;
-	json_t *body;
-};
-
-/* One kind of call; those that end in "/" name a lease behind it. */
-struct fake_kv_route {
-	enum evhttp_cmd_type method;
-	const char *path;
-	bool is_write;
-	json_t *(*run)(struct fake_kv *kv, const struct fake_kv_call *call,
-		       int *status);
-};
-
-static const char *query_text(const struct fake_kv_call *call, const char *name)
-{
-	const char *text = evhttp_find_header(&call->query, name);
-
-	return text ? text : "";
-}
-
-static int64_t query_number(const struct fake_kv_call *call, const char *name)
-{
-	return g_ascii_strtoll(query_text(call, name), NULL, 10);
-}
-
-static int64_t lease_of(const struct fake_kv_call *call)
-{
-	return g_ascii_strtoll(strrchr(call->path, '/') + 1, NULL, 10);
-}
-
-static json_t *run_key(struct fake_kv *kv, const struct fake_kv_call *call,
-		       int *status)
-{
-	return fake_kv_store_key(kv->store, query_text(call, "key"), status);
-}
-
-static json_t *run_range(struct fake_kv *kv, const struct fake_kv_call *call,
-			 int *status)
-{
-	return fake_kv_store_range(kv->store, query_text(call, "prefix"),
-				   query_text(call, "after"), PAGE_COUNT);
-}
-
-static json_t *run_txn(struct fake_kv *kv, const struct fake_kv_call *call,
-		       int *status)
-{
-	return fake_kv_store_txn(kv->store, call->body, status);
-}
-
-static json_t *run_grant(struct fake_kv *kv, const struct fake_kv_call *call,
-			 int *status)
-{
-	int64_t ttl_ms =
-		json_integer_value(json_object_get(call->body, "ttlMs"));
-
-	return fake_kv_store_grant(kv->store, ttl_ms, task_now_ms());
-}
-
-static json_t *run_keep_alive(struct fake_kv *kv,
-			      const struct fake_kv_call *call, int *status)
-{
-	return fake_kv_store_keep_alive(kv->store, lease_of(call),
-					task_now_ms(), status);
-}
-
-static json_t *run_revoke(struct fake_kv *kv, const struct fake_kv_call *call,
-			  int *status)
-{
-	return fake_kv_store_revoke(kv->store, lease_of(call));
-}
-
-static const struct fake_kv_route routes[] = {
-	{EVHTTP_REQ_GET, "/-/kv-key", false, run_key},
-	{EVHTTP_REQ_GET, "/-/kv-range", false, run_range},
-	{EVHTTP_REQ_POST, "/-/kv-txn", true, run_txn},
-	{EVHTTP_REQ_POST, "/-/kv-lease", true, run_grant},
-	{EVHTTP_REQ_POST, "/-/kv-keep/", true, run_keep_alive},
-	{EVHTTP_REQ_DELETE, "/-/kv-lease-end/", true, run_revoke},
-};
-
 static void answer(struct evhttp_request *request, int status, const char *text)
 {
 	evbuffer_add(evhttp_request_get_output_buffer(request), text,
@@ -180,17 +95,9 @@
 	g_ptr_array_add(kv->late_answers, late);
 }
 
-static json_t *read_body(struct evhttp_request *request)
-{
-	struct evbuffer *input = evhttp_request_get_input_buffer(request);
-	size_t length = evbuffer_get_length(input);
-
-	return json_loadb((char *)evbuffer_pullup(input, -1), length, 0, NULL);
-}
-
 static void send_all_events(struct fake_kv *kv)
 {
-	if (!kv->fault.is_watch_stalled)
+	if (!kv->fault.is_watch_stalled && !kv->fault.is_down)
 		fake_kv_watches_send(kv->watches, task_now_ms());
 }
 
@@ -198,9 +105,10 @@
 		       const struct fake_kv_call *call)
 {
 	kv->watch_count++;
-	fake_kv_watches_open(kv->watches, request, query_text(call, "prefix"),
-			     query_number(call, "after"),
-			     task_now_ms() + query_number(call, "waitMs"));
+	fake_kv_watches_open(
+		kv->watches, request, fake_kv_call_text(call, "prefix"),
+		fake_kv_call_number(call, "after"),
+		task_now_ms() + fake_kv_call_number(call, "waitMs"));
 	send_all_events(kv);
 }
 
@@ -221,7 +129,7 @@
 		      const struct fake_kv_call *call)
 {
 	int status = STATUS_OK;
-	json_t *result = route->run(kv, call, &status);
+	json_t *result = route->run(kv->store, call, &status);
 	char *text = json_dumps(result, JSON_COMPACT);
 
 	json_decref(result);
@@ -254,26 +162,6 @@
 	g_free(text);
 }
 
-static bool is_route(const struct fake_kv_route *route,
-		     enum evhttp_cmd_type method, const char *path)
-{
-	if (route->method != method)
-		return false;
-	if (g_str_has_suffix(route->path, "/"))
-		return g_str_has_prefix(path, route->path);
-	return strcmp(route->path, path) == 0;
-}
-
-static const struct fake_kv_route *find_route(enum evhttp_cmd_type method,
-					      const char *path)
-{
-	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++) {
-		if (is_route(&routes[i], method, path))
-			return &routes[i];
-	}
-	return NULL;
-}
-
 static bool is_authorized(const struct fake_kv *kv,
 			  struct evhttp_request *request)
 {
@@ -287,8 +175,7 @@
 static void serve(struct fake_kv *kv, struct evhttp_request *request,
 		  const struct fake_kv_call *call)
 {
-	const struct fake_kv_route *route =
-		find_route(evhttp_request_get_command(request), call->path);
+	const struct fake_kv_route *route = fake_kv_call_route(call);
 
 	fake_kv_store_expire(kv->store, task_now_ms());
 	if (strcmp(call->path, "/counts") == 0)
@@ -307,27 +194,16 @@
 		evhttp_send_error(request, STATUS_NOT_FOUND, NULL);
 }
 
-static void read_call(struct fake_kv_call *call, struct evhttp_request *request)
-{
-	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
-	const char *query = evhttp_uri_get_query(uri);
-
-	call->path = evhttp_uri_get_path(uri);
-	evhttp_parse_query_str(query ? query : "", &call->query);
-	call->body = read_body(request);
-}
-
 static void on_request(struct evhttp_request *request, void *context)
 {
 	struct fake_kv *kv = context;
 	struct fake_kv_call call;
 
-	read_call(&call, request);
+	fake_kv_call_read(&call, request);
 	pthread_mutex_lock(&kv->lock);
 	serve(kv, request, &call);
 	pthread_mutex_unlock(&kv->lock);
-	evhttp_clear_headers(&call.query);
-	json_decref(call.body);
+	fake_kv_call_clear(&call);
 }
 
 static void on_expire(void *context)
@@ -445,7 +321,38 @@
 {
 	pthread_mutex_lock(&kv->lock);
 	kv->fault = *fault;
+	if (fault->is_down)
+		fake_kv_watches_cut(kv->watches);
+	pthread_mutex_unlock(&kv->lock);
+}
+
+/* Writes a key as an operator or a target would, whatever the fault. */
+void fake_kv_put(struct fake_kv *kv, const char *key, const char *value)
+{
+	char *encoded = g_base64_encode((const guchar *)value, strlen(value));
+	json_t *request = json_pack("{s:[{s:s, s:s}]}", "puts", "key", key,
+				    "value", encoded);
+	int status;
+
+	pthread_mutex_lock(&kv->lock);
+	json_decref(fake_kv_store_txn(kv->store, request, &status));
+	send_all_events(kv);
+	pthread_mutex_unlock(&kv->lock);
+	json_decref(request);
+	g_free(encoded);
+}
+
+/* Removes a key, whatever the fault. */
+void fake_kv_remove(struct fake_kv *kv, const char *key)
+{
+	json_t *request = json_pack("{s:[s]}", "remove", key);
+	int status;
+
+	pthread_mutex_lock(&kv->lock);
+	json_decref(fake_kv_store_txn(kv->store, request, &status));
+	send_all_events(kv);
 	pthread_mutex_unlock(&kv->lock);
+	json_decref(request);
 }
 
 /* Forgets the history, so that older watches cannot be resumed. */
