Let a node that is not listed yet read the store less often

Cause: at the start of a fleet of 64 every node read the store for two seconds with the pauses of a reader, some 1,900 calls.

Change: only a node that the store lists and that ranks among the readers has their pause; a node leaves the store after one second when it need not read it.

--- a/core/include/core/relay_sources.h
+++ b/core/include/core/relay_sources.h
@@ -33,6 +33,7 @@
 				       int64_t now_ms);
 void relay_sources_failed(struct relay_sources *sources, int64_t now_ms);
 void relay_sources_worked(struct relay_sources *sources);
+bool relay_sources_is_listed(const struct relay_sources *sources);
 bool relay_sources_is_reader(const struct relay_sources *sources,
 			     int64_t now_ms);
 
--- a/core/src/relay/relay_sources.c
+++ b/core/src/relay/relay_sources.c
@@ -123,6 +123,12 @@
 	}
 }
 
+/* Tells whether the store's list of nodes has this one. */
+bool relay_sources_is_listed(const struct relay_sources *sources)
+{
+	return find(sources->peers, sources->self_id) != NULL;
+}
+
 static bool is_paused(const struct candidate *candidate, int64_t now_ms)
 {
 	return now_ms < candidate->paused_until_ms;
--- a/daemon/src/relay/feed_reader.c
+++ b/daemon/src/relay/feed_reader.c
@@ -31,6 +31,7 @@
 	struct feed_reader_options options;
 	struct kv_client *client;
 	struct kv_watch *watch;
+	uint32_t pause_ms;
 };
 
 static void on_watch_ended(void *context, bool is_compacted)
@@ -67,7 +68,7 @@
 		.first_wait_ms = first_wait_ms,
 		.first_timeout_ms = first_timeout_ms,
 		.wait_ms = timings[kind].wait_ms,
-		.pause_ms = reader->options.pause_ms,
+		.pause_ms = reader->pause_ms,
 		.timeout_ms = timings[kind].watch_timeout_ms,
 		.context = reader,
 		.on_answer = on_watch_answer,
@@ -137,6 +138,17 @@
 	return NULL;
 }
 
+/*
+ * Says how long a watch pauses after changes, so that the next ones come
+ * together. Without a word it does not pause.
+ */
+void feed_reader_set_pause(struct feed_reader *reader, uint32_t pause_ms)
+{
+	reader->pause_ms = pause_ms;
+	if (reader->watch)
+		kv_watch_set_pause(reader->watch, pause_ms);
+}
+
 /* Stops reading and frees the reader; NULL is allowed. */
 void feed_reader_free(struct feed_reader *reader)
 {
--- a/daemon/src/relay/feed_reader.h
+++ b/daemon/src/relay/feed_reader.h
@@ -12,8 +12,7 @@
 struct feed_reader;
 
 /*
- * revision 0 reads all first, another watches from there; after changes a
- * watch pauses for pause_ms, so that the next ones come together. on_whole gets a
+ * revision 0 reads all first, another watches from there. on_whole gets a
  * whole reading, on_changes what a watch told, on_answer runs with each answer
  * of a watch, on_ended once; a compacted source has to be read whole.
  */
@@ -22,7 +21,6 @@
 	struct relay_source source;
 	struct endpoint store;
 	int64_t revision;
-	uint32_t pause_ms;
 	void *context;
 	void (*on_whole)(void *context, const struct kv_reply *reply);
 	void (*on_changes)(void *context, const struct kv_reply *reply);
@@ -32,6 +30,7 @@
 
 struct feed_reader *feed_reader_new(const struct feed_reader_options *options,
 				    GError **error);
+void feed_reader_set_pause(struct feed_reader *reader, uint32_t pause_ms);
 void feed_reader_free(struct feed_reader *reader);
 uint64_t feed_reader_call_count(const struct feed_reader *reader);
 
--- a/daemon/src/relay/feed_task.c
+++ b/daemon/src/relay/feed_task.c
@@ -23,7 +23,7 @@
  * that it followed have just failed, and reads it less often than a node that
  * reads for others: each call costs.
  */
-#define DIRECT_LEAST_MS 2000
+#define DIRECT_LEAST_MS 1000
 #define READER_PAUSE_MS 40
 #define DIRECT_PAUSE_MS 300
 
@@ -188,11 +188,14 @@
 	timer_once(feed->retry_timer, 0);
 }
 
+/* A node that others cannot know yet reads for itself alone. */
 static uint32_t pause_ms(const struct feed_task *feed)
 {
 	if (!is_direct(feed))
 		return 0;
-	return relay_sources_is_reader(feed->sources, task_now_ms())
+	return relay_sources_is_listed(feed->sources) &&
+			       relay_sources_is_reader(feed->sources,
+						       task_now_ms())
 		       ? READER_PAUSE_MS
 		       : DIRECT_PAUSE_MS;
 }
@@ -206,7 +209,6 @@
 		.revision = feed->is_whole_needed
 				    ? 0
 				    : kv_mirror_revision(feed->mirror),
-		.pause_ms = pause_ms(feed),
 		.context = feed,
 		.on_whole = on_whole,
 		.on_changes = on_changes,
@@ -216,8 +218,10 @@
 	GError *error = NULL;
 
 	feed->reader = feed_reader_new(&options, &error);
-	if (feed->reader)
+	if (feed->reader) {
+		feed_reader_set_pause(feed->reader, pause_ms(feed));
 		return true;
+	}
 	log_write(feed->log, LOG_LEVEL_ERROR, "feed_not_opened", "error=\"%s\"",
 		  error->message);
 	g_error_free(error);
@@ -267,6 +271,8 @@
 	if (is_better_elsewhere(feed) ||
 	    (feed->is_live && feed->is_whole_needed))
 		read_next(feed);
+	if (feed->reader)
+		feed_reader_set_pause(feed->reader, pause_ms(feed));
 	if (feed->is_live)
 		node_entry_tick(feed->entry, feed->mirror, task_now_ms());
 	counter_set_assign(counters, FEED_STORE_CALLS, store_call_count(feed));
