List targets from their entries in the store, not from a VM list

Ruled out: keeping both, which would be two sources for one fact.

Change: the VM list client, its codec, its stand-in and its settings go; the home mode reads the same entries with the same decoder as the tag mode.

Conclusion: one client and one decoder for what the platform lists.

--- a/core/src/membership.c
+++ b/core/src/membership.c
@@ -89,7 +89,7 @@
 
 /*
  * Replaces the addresses where members may be found: those of the settings
- * and of the VM list. They are evidence only; a node counts when it answers.
+ * and of the store. They are evidence only; a node counts when it answers.
  */
 void membership_set_hints(struct membership *membership,
 			  const struct endpoint *endpoints, uint32_t count)
--- a/core/src/relay/relay_sources.c
+++ b/core/src/relay/relay_sources.c
@@ -15,8 +15,8 @@
 
 /*
  * How long one that failed is left alone: a node that only lost
- * the store has it back soon, a store that refuses is asked more and more seldom. A call to the
- * store costs, one to a node does not.
+ * the store has it back soon, a store that refuses is asked more and more
+ * seldom. A call to the store costs, one to a node does not.
  */
 #define PEER_PAUSE_MS 1000
 #define STORE_PAUSE_MS 150
--- a/core/src/request_changes.c
+++ b/core/src/request_changes.c
@@ -123,7 +123,7 @@
 }
 
 /*
- * Notes what the VM list or a probe says of a target. A leaving or cut-off
+ * Notes what the store or a probe says of a target. A leaving or cut-off
  * one gets nothing new; the word of a probe yields to the target's answers.
  */
 void request_director_set_target_state(struct request_director *director,
--- a/core/src/target_states.h
+++ b/core/src/target_states.h
@@ -3,7 +3,7 @@
 
 #include <core/rule_set.h>
 
-/* What the VM list and probes said last of each target, listed or not yet. */
+/* What the store and probes said last of each target, listed or not yet. */
 struct target_states;
 
 struct target_states *target_states_new(void);
--- a/core/test/flow_fault_test.c
+++ b/core/test/flow_fault_test.c
@@ -181,8 +181,8 @@
 	flow_fleet_join(fleet, NODE_COUNT);
 }
 
-/* What the VM list says of a target reaches each node within a minute. */
-static void vm_list_late(struct flow_fleet *fleet)
+/* What the store says of a target reaches each node within a minute. */
+static void entries_late(struct flow_fleet *fleet)
 {
 	flow_fleet_set_spread(fleet, 60000);
 	flow_fleet_target(fleet, 3, TARGET_LEAVING);
@@ -237,7 +237,7 @@
 	{"address-reused", address_reused, ANY, false},
 	{"address-reused-and-node-leaves", address_reused_and_node_leaves, ANY,
 	 false},
-	{"vm-list-a-minute-late", vm_list_late, NONE, false},
+	{"entries-a-minute-late", entries_late, NONE, false},
 	{"target-fails-and-recovers", target_lies, NONE, false},
 	{"targets-all-fail", targets_all_fail, NONE, false},
 	{"packets-doubled", change_much, NONE, true},
--- a/core/test/relay_director_test.c
+++ b/core/test/relay_director_test.c
@@ -46,11 +46,26 @@
 	uint64_t target_id;
 };
 
-#define TO(target, reason) {RELAY_FORWARD, reason, target}
-#define TO_ANY(reason) {RELAY_FORWARD, reason, 0}
-#define RESET(reason) {RELAY_RESET, reason, 0}
-#define DROP(reason) {RELAY_DROP, reason, 0}
-#define NOTHING {-1, REASON_NONE, 0}
+#define TO(target, reason)                                                     \
+	{                                                                      \
+		RELAY_FORWARD, reason, target                                  \
+	}
+#define TO_ANY(reason)                                                         \
+	{                                                                      \
+		RELAY_FORWARD, reason, 0                                       \
+	}
+#define RESET(reason)                                                          \
+	{                                                                      \
+		RELAY_RESET, reason, 0                                         \
+	}
+#define DROP(reason)                                                           \
+	{                                                                      \
+		RELAY_DROP, reason, 0                                          \
+	}
+#define NOTHING                                                                \
+	{                                                                      \
+		-1, REASON_NONE, 0                                             \
+	}
 
 struct step {
 	int64_t at_ms;
@@ -326,9 +341,8 @@
 		relay_director_tick(director, step->at_ms);
 		break;
 	default:
-		seen->verdict =
-			relay_director_packet(director, &packet, bytes,
-					      sizeof(bytes), step->at_ms);
+		seen->verdict = relay_director_packet(
+			director, &packet, bytes, sizeof(bytes), step->at_ms);
 	}
 }
 
--- a/core/test/relay_sources_test.c
+++ b/core/test/relay_sources_test.c
@@ -64,7 +64,10 @@
 	  {3, WORKS, 0, 0},
 	  {2000, NEXT_PEER, 0, 0}}},
 	{"reader-refused-by-the-store-follows",
-	 {{0, LISTED, 8, 0}, {0, NEXT_STORE, 0, 0}, {1, FAILS, 0, 0}, {1, NEXT_PEER, 0, 0}}},
+	 {{0, LISTED, 8, 0},
+	  {0, NEXT_STORE, 0, 0},
+	  {1, FAILS, 0, 0},
+	  {1, NEXT_PEER, 0, 0}}},
 	{"reader-goes-back-to-the-store",
 	 {{0, LISTED, 8, 0},
 	  {0, NEXT_STORE, 0, 0},
@@ -81,7 +84,9 @@
 	  {1, IS_READER, 0, 0},
 	  {1, NEXT_STORE, 0, 0}}},
 	{"more-readers-in-a-large-fleet",
-	 {{0, LISTED, 160, 4}, {0, IS_READER, 0, 0}, {0, LISTED, 160, 5},
+	 {{0, LISTED, 160, 4},
+	  {0, IS_READER, 0, 0},
+	  {0, LISTED, 160, 5},
 	  {0, IS_NO_READER, 0, 0}}},
 };
 
@@ -155,9 +160,8 @@
 		break;
 	case IS_READER:
 	case IS_NO_READER:
-		ck_assert_int_eq(
-			relay_sources_is_reader(sources, step->at_ms),
-			step->verb == IS_READER);
+		ck_assert_int_eq(relay_sources_is_reader(sources, step->at_ms),
+				 step->verb == IS_READER);
 		break;
 	case END:
 		break;
--- a/ctl/src/demo_command.c
+++ b/ctl/src/demo_command.c
@@ -12,16 +12,14 @@
 	{"node", required_argument, NULL, 'n'},
 	{"rules", required_argument, NULL, 'r'},
 	{"store", required_argument, NULL, 's'},
-	{"vm-list", required_argument, NULL, 'v'},
 	{"help", no_argument, NULL, 'h'},
 	{NULL, 0, NULL, 0},
 };
 
 static const char usage_text[] =
-	"Usage: shallotctl demo --rules FILE --store ADDRESS --vm-list "
-	"ADDRESS\n"
+	"Usage: shallotctl demo --rules FILE --store ADDRESS\n"
 	"                       --node REQUESTS,PACKETS ... [--duration-s N]\n"
-	"Runs stand-ins for the store, the VM list, targets and the fabric, "
+	"Runs stand-ins for the store, targets and the fabric, "
 	"waits for a\nline on standard input, drives requests and flows "
 	"through "
 	"the nodes and drains a\ntarget in the middle. Exits 1 when a flow "
@@ -64,8 +62,6 @@
 		return true;
 	case 's':
 		return endpoint_parse(&options->store, optarg);
-	case 'v':
-		return endpoint_parse(&options->vm_list, optarg);
 	default:
 		return false;
 	}
@@ -76,7 +72,7 @@
 	struct demo_options options = {.duration_s = DEMO_DURATION_DEFAULT_S};
 	int option;
 
-	while ((option = getopt_long(argc, argv, "d:n:r:s:v:h", long_options,
+	while ((option = getopt_long(argc, argv, "d:n:r:s:h", long_options,
 				     NULL)) != -1) {
 		if (option == 'h') {
 			fputs(usage_text, stdout);
@@ -88,7 +84,7 @@
 		}
 	}
 	if (options.node_count == 0 || !options.rules_path ||
-	    options.store.port == 0 || options.vm_list.port == 0) {
+	    options.store.port == 0) {
 		fputs(usage_text, stderr);
 		return EXIT_CODE_USAGE;
 	}
--- a/ctl/src/demo_run.h
+++ b/ctl/src/demo_run.h
@@ -16,7 +16,6 @@
 	struct endpoint packets[DEMO_NODE_COUNT_MAX];
 	uint32_t node_count;
 	struct endpoint store;
-	struct endpoint vm_list;
 	uint32_t duration_s;
 	const char *rules_path;
 };
--- a/daemon/include/daemon/config_task.h
+++ b/daemon/include/daemon/config_task.h
@@ -5,7 +5,7 @@
 #include <task/task.h>
 
 /*
- * Owns the clients of the store and of the VM list, learns the configuration
+ * Owns the client of the store, learns the configuration
  * and gives the rules in force and the states of targets to other tasks.
  */
 struct config_task;
--- a/daemon/include/daemon/platform_settings.h
+++ b/daemon/include/daemon/platform_settings.h
@@ -4,13 +4,11 @@
 #include <core/endpoint.h>
 
 /*
- * Where the platform's services are; port 0 is none. The token file holds the
+ * Where the platform's store is; port 0 is none. The token file holds the
  * store's token, which is read from there and never logged.
  */
 struct platform_settings {
 	struct endpoint store;
-	struct endpoint vm_list;
-	char *vm_list_path;
 	char *token_file;
 	char *key_prefix;
 	uint32_t timeout_ms;
--- a/daemon/src/config_platform.c
+++ b/daemon/src/config_platform.c
@@ -2,7 +2,8 @@
 
 #include "zone_reporter.h"
 
-#include <platform/vm_list_client.h>
+#include <platform/platform_key.h>
+#include <platform/target_entry.h>
 
 struct config_platform {
 	struct config_platform_options options;
@@ -11,7 +12,7 @@
 	struct config_store *store;
 	struct zone_reporter *reporter;
 	struct roster_keeper *keeper;
-	struct vm_list_client *vm_list;
+	bool is_listing;
 };
 
 static bool open_client(struct config_platform *platform, GError **error)
@@ -76,21 +77,30 @@
 	g_free(lease_key);
 }
 
-static void open_vm_list(struct config_platform *platform)
+/* Entries that cannot be read name no target; the others hold. */
+static GArray *decode_targets(const struct kv_reply *reply)
 {
-	const struct platform_settings *settings =
-		&platform->options.settings->platform;
-	struct vm_list_client_options options = {
-		.base = platform->options.base,
-		.server = settings->vm_list,
-		.path = settings->vm_list_path,
-		.timeout_ms = settings->timeout_ms,
-		.context = platform->options.context,
-		.on_list = platform->options.on_vm_list,
-	};
+	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct target));
+
+	for (guint i = 0; i < reply->entries->len; i++) {
+		struct target_entry entry;
 
-	if (settings->vm_list.port != 0)
-		platform->vm_list = vm_list_client_new(&options);
+		if (target_entry_decode(&entry, kv_reply_entry(reply, i)))
+			g_array_append_val(list, entry.target);
+	}
+	return list;
+}
+
+static void on_targets(void *context, enum kv_outcome outcome,
+		       const struct kv_reply *reply, const GError *error)
+{
+	struct config_platform *platform = context;
+	GArray *list = reply ? decode_targets(reply) : NULL;
+
+	platform->is_listing = false;
+	platform->options.on_targets(platform->options.context, list, error);
+	if (list)
+		g_array_free(list, TRUE);
 }
 
 /*
@@ -111,7 +121,6 @@
 	open_store(platform);
 	open_reporter(platform);
 	open_keeper(platform);
-	open_vm_list(platform);
 	return platform;
 }
 
@@ -120,7 +129,6 @@
 {
 	if (!platform)
 		return;
-	vm_list_client_free(platform->vm_list);
 	zone_reporter_free(platform->reporter);
 	roster_keeper_free(platform->keeper);
 	config_store_free(platform->store);
@@ -150,11 +158,16 @@
 	roster_keeper_tick(platform->keeper, roster_view, now_ms);
 }
 
-/* Reads the list of VMs, where there is one. */
-void config_platform_read_vms(struct config_platform *platform)
+/* Reads the targets that the platform lists, unless a read is on its way. */
+void config_platform_read_targets(struct config_platform *platform)
 {
-	if (platform->vm_list)
-		vm_list_client_read(platform->vm_list);
+	struct kv_callback callback = {platform, on_targets};
+
+	if (platform->is_listing)
+		return;
+	platform->is_listing = true;
+	kv_client_range(platform->client, PLATFORM_KEY_TARGETS, true,
+			&callback);
 }
 
 /* Returns how many calls the store has got. */
--- a/daemon/src/config_platform.h
+++ b/daemon/src/config_platform.h
@@ -8,11 +8,11 @@
 
 /*
  * All that a node does with the platform's services: the rules, the roster
- * and the zone's report in the store, and the list of VMs.
+ * and the zone's report in the store, and the targets that it lists.
  */
 struct config_platform;
 
-/* list is an array of struct vm, or NULL with an error. */
+/* list is an array of struct target, or NULL with an error. */
 struct config_platform_options {
 	struct event_base *base;
 	const struct settings *settings;
@@ -21,7 +21,7 @@
 			    const struct rules_document *document);
 	void (*on_failed)(void *context, const char *reason);
 	void (*on_roster)(void *context, const struct roster *roster);
-	void (*on_vm_list)(void *context, const GArray *list,
+	void (*on_targets)(void *context, const GArray *list,
 			   const GError *error);
 };
 
@@ -34,7 +34,7 @@
 void config_platform_tick(struct config_platform *platform,
 			  const struct roster_keeper_view *roster_view,
 			  bool is_reporter, int64_t now_ms);
-void config_platform_read_vms(struct config_platform *platform);
+void config_platform_read_targets(struct config_platform *platform);
 uint64_t config_platform_call_count(const struct config_platform *platform);
 
 #endif
--- a/daemon/src/config_task.c
+++ b/daemon/src/config_task.c
@@ -33,7 +33,7 @@
 	struct log *log;
 	struct counter_set *counters;
 	struct timer *tick_timer;
-	struct timer *vm_timer;
+	struct timer *target_timer;
 	struct config_platform *platform;
 	struct node_view *nodes;
 	struct target_watch *targets;
@@ -127,14 +127,14 @@
 		  "reason=\"%s\"", reason);
 }
 
-static void on_vm_list(void *context, const GArray *list, const GError *error)
+static void on_targets(void *context, const GArray *list, const GError *error)
 {
 	struct config_task *config = context;
 
 	if (list)
 		target_watch_take_list(config->targets, list);
 	else
-		log_write(config->log, LOG_LEVEL_WARNING, "vm_list_failed",
+		log_write(config->log, LOG_LEVEL_WARNING, "targets_failed",
 			  "reason=\"%s\"", error->message);
 }
 
@@ -192,11 +192,11 @@
 			       rules_gossip_is_known(config->gossip));
 }
 
-static void on_vm_timer(void *context)
+static void on_target_timer(void *context)
 {
 	struct config_task *config = context;
 
-	config_platform_read_vms(config->platform);
+	config_platform_read_targets(config->platform);
 }
 
 static bool open_platform(struct config_task *config, struct task *task,
@@ -209,7 +209,7 @@
 		.on_document = on_document,
 		.on_failed = on_store_failed,
 		.on_roster = on_stored_roster,
-		.on_vm_list = on_vm_list,
+		.on_targets = on_targets,
 	};
 
 	config->platform = config_platform_new(&options, error);
@@ -229,9 +229,9 @@
 static void start_timers(struct config_task *config, struct task *task)
 {
 	config->tick_timer = timer_new(task, config, on_tick);
-	config->vm_timer = timer_new(task, config, on_vm_timer);
+	config->target_timer = timer_new(task, config, on_target_timer);
 	timer_every(config->tick_timer, TICK_MS);
-	timer_every(config->vm_timer, VM_LIST_INTERVAL_MS);
+	timer_every(config->target_timer, VM_LIST_INTERVAL_MS);
 }
 
 static void start_gossip(struct config_task *config)
@@ -347,7 +347,7 @@
 	struct config_task *config = context;
 
 	timer_free(config->tick_timer);
-	timer_free(config->vm_timer);
+	timer_free(config->target_timer);
 	rules_gossip_free(config->gossip);
 	config_publisher_free(config->publisher);
 	target_watch_free(config->targets);
--- a/daemon/src/relay/feed_task.c
+++ b/daemon/src/relay/feed_task.c
@@ -165,8 +165,7 @@
 /* A store that drops its history may leave a watch behind it unanswered. */
 static bool is_watch_unanswered(const struct feed_task *feed)
 {
-	return is_direct(feed) && !feed->has_answered &&
-	       !feed->is_whole_needed;
+	return is_direct(feed) && !feed->has_answered && !feed->is_whole_needed;
 }
 
 /* A source that has forgotten its history is read whole, the same one. */
--- a/daemon/src/relay/node_entry.c
+++ b/daemon/src/relay/node_entry.c
@@ -33,9 +33,9 @@
 	entry->client = client;
 	entry->log = log;
 	entry->key = peer_codec_key(settings->node_name);
-	entry->value = peer_codec_encode(&settings->relay.listen_peers,
-					 settings->zone,
-					 settings->relay.link_mbps);
+	entry->value =
+		peer_codec_encode(&settings->relay.listen_peers, settings->zone,
+				  settings->relay.link_mbps);
 	return entry;
 }
 
--- a/daemon/src/settings.c
+++ b/daemon/src/settings.c
@@ -254,7 +254,6 @@
 	g_free(settings->rules_file);
 	g_free(settings->members_seeds);
 	g_free(settings->members_key_file);
-	g_free(settings->platform.vm_list_path);
 	g_free(settings->relay.seeds);
 	g_free(settings->platform.token_file);
 	g_free(settings->platform.key_prefix);
--- a/daemon/src/target_watch.c
+++ b/daemon/src/target_watch.c
@@ -1,8 +1,9 @@
 #include "target_watch.h"
 
-#include <wire/vm_list.h>
+#include <core/target.h>
 
-/* leaving has the addresses of leaving VMs, posted the targets told of. */
+/* leaving has the addresses of VMs whose target leaves, posted the targets told
+ * of. */
 struct target_watch {
 	struct target_watch_options options;
 	struct rule_set *rules;
@@ -90,18 +91,19 @@
 	update(watch);
 }
 
-/* Takes a list of struct vm. */
+/* Takes targets as the platform lists them, struct target. */
 void target_watch_take_list(struct target_watch *watch, const GArray *list)
 {
 	for (guint i = 0; i < list->len; i++) {
-		const struct vm *vm = &g_array_index(list, struct vm, i);
+		const struct target *listed =
+			&g_array_index(list, struct target, i);
+		const struct ip_addr *addr = &listed->endpoint.addr;
 
-		if (vm->is_leaving)
-			g_hash_table_add(
-				watch->leaving,
-				g_memdup2(&vm->addr, sizeof(vm->addr)));
+		if (listed->state == TARGET_LEAVING)
+			g_hash_table_add(watch->leaving,
+					 g_memdup2(addr, sizeof(*addr)));
 		else
-			g_hash_table_remove(watch->leaving, &vm->addr);
+			g_hash_table_remove(watch->leaving, addr);
 	}
 	update(watch);
 }
--- a/daemon/test/config_task_test.c
+++ b/daemon/test/config_task_test.c
@@ -6,7 +6,6 @@
 #include <daemon/target_state_message.h>
 #include <fakes/fake_inbox.h>
 #include <fakes/fake_kv.h>
-#include <fakes/fake_vm_list.h>
 #include <fakes/test_main.h>
 #include <platform/kv_client.h>
 #include <string.h>
@@ -25,7 +24,6 @@
 
 struct fixture {
 	struct fake_kv *kv;
-	struct fake_vm_list *vms;
 	struct fake_inbox *work;
 	struct fake_inbox *admin;
 	struct fake_inbox *control;
@@ -47,13 +45,10 @@
 		  bool has_peers)
 {
 	struct fake_kv_options kv_options = {.listen = any_port()};
-	struct fake_vm_list_options vm_options = {.listen = any_port(),
-						  .text = "[]"};
 	struct config_task_options options = {.node_id = NODE_ID};
 
 	memset(fixture, 0, sizeof(*fixture));
 	fixture->kv = fake_kv_new(&kv_options, NULL);
-	fixture->vms = fake_vm_list_new(&vm_options, NULL);
 	fake_kv_set_fault(fixture->kv, fault);
 	fixture->work = fake_inbox_new();
 	fixture->admin = fake_inbox_new();
@@ -65,8 +60,6 @@
 		.log_level = LOG_LEVEL_ERROR,
 		.log_rate_per_s = 1,
 		.platform = {.store = fake_kv_endpoint(fixture->kv),
-			     .vm_list = fake_vm_list_endpoint(fixture->vms),
-			     .vm_list_path = (char *)"/vms",
 			     .key_prefix = (char *)"/shallotstream",
 			     .timeout_ms = TIMEOUT_MS},
 	};
@@ -85,7 +78,6 @@
 	fake_inbox_free(fixture->work);
 	fake_inbox_free(fixture->admin);
 	fake_inbox_free(fixture->control);
-	fake_vm_list_free(fixture->vms);
 	fake_kv_free(fixture->kv);
 }
 
@@ -215,8 +207,10 @@
 	setup(&fixture, &none, false);
 	put(&fixture, TEXT_OLD, REVISION_OLD, 0);
 	ck_assert(fake_inbox_wait(fixture.work, (void *)"old", is_rules));
-	fake_vm_list_set(fixture.vms, "[{\"address\":\"10.1.0.1\",\"zone\":"
-				      "\"a\",\"state\":\"leaving\"}]");
+	fake_kv_put(fixture.kv, "servers/i-1",
+		    "{\"service\":\"s\",\"address\":\"10.1.0.1:80\","
+		    "\"zone\":\"a\",\"concurrency\":1,\"state\":"
+		    "\"draining\",\"warmupRemainingMs\":0}");
 	ck_assert(fake_inbox_wait(fixture.work, NULL, is_leaving));
 	teardown(&fixture);
 }
--- a/daemon/test/feed_task_test.c
+++ b/daemon/test/feed_task_test.c
@@ -123,8 +123,8 @@
 	struct news_message *news = (struct news_message *)message;
 
 	if (news->routes)
-		atomic_store(&sink->version, (uint32_t)relay_route_table_version(
-						     news->routes));
+		atomic_store(&sink->version,
+			     (uint32_t)relay_route_table_version(news->routes));
 	message_free(message);
 }
 
--- a/daemon/test/relay_node_test.c
+++ b/daemon/test/relay_node_test.c
@@ -188,7 +188,7 @@
 START_TEST(test_leaving_target)
 {
 	struct fixture fixture;
-	uint8_t bytes[ECHO_TARGET_ID_BYTES + ECHO_PACKET_BYTES_MAX];
+	uint8_t bytes[ECHO_TARGET_ID_BYTES + ECHO_PACKET_BYTES_MAX] = {0};
 	int64_t end_ms = task_now_ms() + PATIENCE_MS;
 	uint16_t flow = 1;
 
--- a/daemon/test/target_watch_test.c
+++ b/daemon/test/target_watch_test.c
@@ -3,7 +3,6 @@
 #include <core/rule.h>
 #include <fakes/test_main.h>
 #include <string.h>
-#include <wire/vm_list.h>
 
 #define STEP_MAX 5
 #define RULE "desk address=10.0.0.1:80 pool=10.1.0.1:80,10.1.0.2:80 # Lin"
@@ -63,14 +62,15 @@
 
 static GArray *read_list(const char *text)
 {
-	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct vm));
+	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct target));
 	char **words = g_strsplit(text, " ", -1);
-	struct vm vm = {.zone_id = 1};
+	struct target target = {.zone_id = 1};
 
 	if (words[0] && words[1]) {
-		ck_assert(ip_addr_parse(&vm.addr, words[0]));
-		vm.is_leaving = strcmp(words[1], "leaving") == 0;
-		g_array_append_val(list, vm);
+		ck_assert(ip_addr_parse(&target.endpoint.addr, words[0]));
+		if (strcmp(words[1], "leaving") == 0)
+			target.state = TARGET_LEAVING;
+		g_array_append_val(list, target);
 	}
 	g_strfreev(words);
 	return list;
--- a/wire/src/peer_codec.c
+++ b/wire/src/peer_codec.c
@@ -16,10 +16,9 @@
 			uint32_t link_mbps)
 {
 	char address[ENDPOINT_TEXT_BYTES];
-	json_t *root =
-		json_pack("{s:s, s:s, s:I}", "peers",
-			  endpoint_format(endpoint, address), "zone", zone,
- "link_mbps", (json_int_t)link_mbps);
+	json_t *root = json_pack("{s:s, s:s, s:I}", "peers",
+				 endpoint_format(endpoint, address), "zone",
+				 zone, "link_mbps", (json_int_t)link_mbps);
 	char *dumped = json_dumps(root, JSON_COMPACT);
 	char *text = g_strdup(dumped);
 
