--- a/daemon/include/daemon/settings.h
+++ b/daemon/include/daemon/settings.h
@@ -5,7 +5,7 @@
 #include <daemon/relay_settings.h>
 #include <daemon/request_settings.h>
 
-/* The settings of one shallotd, read from YAML; see docs/OPERATORS.md. */
+/* The settings of one shallotd, read from YAML; see docs/OPERATIONS.md. */
 struct settings {
 	char *node_name;
 	char *zone;
