Log requests by id, never wait for a reader, and explain a flow from logs

Cause: on-call engineers have only logs and metrics, and start from a request's id.

Ruled out: making the log's descriptor non-blocking, which would change it for whoever shares it; a pipe that polls writable takes a whole line at once.

Change: one line for each request with its id and flow, one for flows that took long or were reset by the caller; a line that a reader has no room for is left out and counted. A histogram of the time to a target's first sign. shallotctl explain tells a flow's story from the logs of many nodes and names the cause.

--- a/core/include/core/relay_flow.h
+++ b/core/include/core/relay_flow.h
@@ -22,7 +22,8 @@
 /*
  * What a node remembers of a flow that it carries. It is a hint: the caller's
  * packets name the target themselves. tried lists the tags that the opening
- * packet went to; sent_ms is when it last left.
+ * packet went to; sent_ms is when it last left, began_ms when the flow was
+ * first seen here.
  */
 struct relay_flow {
 	struct flow_print print;
@@ -30,6 +31,7 @@
 	uint32_t tag;
 	uint32_t sequence;
 	uint32_t service_id;
+	int64_t began_ms;
 	int64_t sent_ms;
 	int64_t used_ms;
 	uint32_t tried[RELAY_TRY_COUNT_MAX];
--- a/core/include/core/relay_verdict.h
+++ b/core/include/core/relay_verdict.h
@@ -13,7 +13,9 @@
 /*
  * What becomes of a packet. Where it is forwarded, target_id and endpoint say
  * to whom and tag is what goes into the packet. is_new_decision: not just the
- * next packet of a flow whose target is settled.
+ * next packet of a flow whose target is settled. is_answered: the packet shows
+ * that the target answered the opening packet answer_ms after it left.
+ * is_closed: it ends the flow, which this node has known for flow_age_ms.
  */
 struct relay_verdict {
 	enum relay_action action;
@@ -24,6 +26,10 @@
 	uint32_t cost_milli;
 	uint8_t try_count;
 	bool is_new_decision;
+	bool is_answered;
+	bool is_closed;
+	uint32_t answer_ms;
+	uint32_t flow_age_ms;
 };
 
 #endif
--- a/core/src/relay/relay_director.c
+++ b/core/src/relay/relay_director.c
@@ -80,25 +80,25 @@
 	relay_opening_answered(director, flow, now_ms);
 }
 
-static void end_if_closing(struct relay_director *director,
+/* A flow ends once: later packets of its end change nothing. */
+static bool end_if_closing(struct relay_director *director,
 			   struct relay_flow *flow,
 			   const struct relay_packet *packet)
 {
+	bool is_first = flow->is_counted;
+
 	if (!packet->is_closing && !packet->is_reset)
-		return;
+		return false;
 	relay_opening_uncount(director, flow);
 	if (flow->state == RELAY_FLOW_OPENING)
 		relay_flow_table_settle(director->flows, flow,
 					RELAY_FLOW_ENDED);
+	return is_first;
 }
 
-/*
- * Finds the tag that a packet belongs to. Once settled, a flow keeps its
- * target: a second target's answer, come late, may change what the caller
- * brings back.
- */
-static uint32_t tag_of(struct relay_director *director,
-		       const struct relay_packet *packet, int64_t now_ms)
+static struct relay_flow *find_or_adopt(struct relay_director *director,
+					const struct relay_packet *packet,
+					int64_t now_ms)
 {
 	const struct flow_key key = {
 		.caller = packet->caller,
@@ -110,29 +110,53 @@
 
 	if (!flow && packet->tag != RELAY_TAG_NONE && !packet->is_reset)
 		flow = adopt(director, packet, print, now_ms);
-	if (!flow)
-		return packet->tag;
+	return flow;
+}
+
+/*
+ * Notes a packet of a flow. Once settled, a flow keeps its target: a second
+ * target's answer, come late, may change what the caller brings back.
+ */
+static void follow(struct relay_director *director, struct relay_flow *flow,
+		   const struct relay_packet *packet,
+		   struct relay_verdict *verdict, int64_t now_ms)
+{
 	relay_flow_table_use(director->flows, flow, now_ms);
-	if (flow->state != RELAY_FLOW_OPEN && packet->tag != RELAY_TAG_NONE)
+	if (flow->state != RELAY_FLOW_OPEN && packet->tag != RELAY_TAG_NONE) {
+		verdict->is_answered = flow->state == RELAY_FLOW_OPENING;
+		verdict->answer_ms = (uint32_t)(now_ms - flow->sent_ms);
 		settle(director, flow, packet->tag, now_ms);
-	end_if_closing(director, flow, packet);
-	return flow->tag;
+	}
+	verdict->is_closed = end_if_closing(director, flow, packet);
+	verdict->flow_age_ms = (uint32_t)(now_ms - flow->began_ms);
+	verdict->try_count = flow->try_count;
 }
 
 static struct relay_verdict open_packet(struct relay_director *director,
 					const struct relay_packet *packet,
 					int64_t now_ms)
 {
+	struct relay_verdict seen = {.action = RELAY_FORWARD};
+	struct relay_verdict verdict;
 	const struct relay_target *known;
-	uint32_t tag;
+	struct relay_flow *flow;
 
 	if (!relay_route_table_find(director->routes, &packet->service))
 		return refuse(RELAY_RESET, REASON_NO_SERVICE);
-	tag = tag_of(director, packet, now_ms);
-	known = relay_directory_find(director->directory, tag);
+	flow = find_or_adopt(director, packet, now_ms);
+	if (flow)
+		follow(director, flow, packet, &seen, now_ms);
+	known = relay_directory_find(director->directory,
+				     flow ? flow->tag : packet->tag);
 	if (!known)
 		return refuse(RELAY_DROP, REASON_TAG_UNKNOWN);
-	return relay_verdict_forward(known, REASON_TAG);
+	verdict = relay_verdict_forward(known, REASON_TAG);
+	verdict.is_answered = seen.is_answered;
+	verdict.answer_ms = seen.answer_ms;
+	verdict.is_closed = seen.is_closed;
+	verdict.flow_age_ms = seen.flow_age_ms;
+	verdict.try_count = seen.try_count;
+	return verdict;
 }
 
 /* Decides what becomes of a packet; the bytes are those of the packet. */
--- a/core/src/relay/relay_flow_table.c
+++ b/core/src/relay/relay_flow_table.c
@@ -74,6 +74,7 @@
 	flow->print = print;
 	flow->used_ms = now_ms;
 	flow->sent_ms = now_ms;
+	flow->began_ms = now_ms;
 	g_hash_table_insert(table->flows, &flow->print, flow);
 	TAILQ_INSERT_TAIL(&table->idle, flow, by_use);
 	TAILQ_INSERT_TAIL(&table->by_sent, flow, by_sent);
--- a/core/src/relay/relay_opening.c
+++ b/core/src/relay/relay_opening.c
@@ -161,6 +161,7 @@
 {
 	relay_opening_uncount(director, flow);
 	flow->sequence = packet->sequence;
+	flow->began_ms = now_ms;
 	flow->try_count = 0;
 	flow->service_id = draw_service(director, route);
 	flow->opening_bytes = 0;
--- a/ctl/include/ctl/command.h
+++ b/ctl/include/ctl/command.h
@@ -20,6 +20,7 @@
 extern const struct command bench_command;
 extern const struct command check_command;
 extern const struct command demo_command;
+extern const struct command explain_command;
 extern const struct command load_command;
 extern const struct command stand_in_command;
 extern const struct command status_command;
--- /dev/null
+++ b/ctl/include/ctl/log_line.h
@@ -0,0 +1,21 @@
+#ifndef CTL_LOG_LINE_H
+#define CTL_LOG_LINE_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+/*
+ * One line of a node's log, taken apart: what stands before the task, the
+ * task, the event and its fields.
+ */
+struct log_line;
+
+struct log_line *log_line_parse(const char *text);
+void log_line_free(struct log_line *line);
+const char *log_line_time(const struct log_line *line);
+const char *log_line_task(const struct log_line *line);
+const char *log_line_event(const struct log_line *line);
+const char *log_line_field(const struct log_line *line, const char *name);
+const char *log_line_text(const struct log_line *line);
+
+#endif
--- /dev/null
+++ b/ctl/test/explain_test.c
@@ -0,0 +1,119 @@
+/* What the logs of a few nodes say of a flow, and the cause that is found. */
+#include <ctl/flow_story.h>
+#include <fakes/test_main.h>
+#include <string.h>
+
+#define LINE_COUNT_MAX 6
+#define HEAD "2026-01-01T00:00:0"
+#define FLOW                                                                   \
+	" shallotd[1] info relay: flow caller=1.2.3.4:5 service=9.9.9.9:80 "
+#define OTHER                                                                  \
+	" shallotd[1] info relay: flow caller=1.2.3.4:6 service=9.9.9.9:80 "
+#define REQUEST                                                                \
+	" shallotd[1] info relay: request id=abc caller=1.2.3.4:5 "            \
+	"service=9.9.9.9:80 target=a1 try=1 flow_age_ms=7"
+#define FORWARD "action=forward target=a1 reason="
+
+/* Lines, in no order; how many are the flow's, and the cause. */
+static const struct {
+	const char *name;
+	const char *lines[LINE_COUNT_MAX];
+	uint32_t count;
+	const char *cause;
+} rows[] = {
+	{"nothing-odd",
+	 {HEAD "1Z" FLOW FORWARD "least_loaded cost_milli=333",
+	  HEAD "2Z" REQUEST},
+	 2,
+	 NULL},
+	{"target-that-did-not-answer",
+	 {HEAD "3Z" REQUEST, HEAD "2Z" FLOW FORWARD "unanswered try=2",
+	  HEAD "1Z" FLOW FORWARD "least_loaded",
+	  HEAD "1Z" OTHER FORWARD "least_loaded"},
+	 3,
+	 "a target left the opening packet without an answer"},
+	{"target-gone",
+	 {HEAD "1Z" FLOW FORWARD "least_loaded", HEAD "2Z" REQUEST,
+	  HEAD "3Z shallotd[1] notice relay: target target=a1 state=gone",
+	  HEAD "3Z shallotd[1] notice relay: target target=b2 state=gone"},
+	 3,
+	 "the target's entry went while the flow was open"},
+	{"all-full",
+	 {HEAD "1Z" FLOW FORWARD "least_loaded cost_milli=3666",
+	  HEAD "2Z" REQUEST},
+	 2,
+	 "every target was full, so the flow waited at one"},
+	{"slow-target",
+	 {HEAD "1Z" FLOW FORWARD "least_loaded", HEAD "2Z" REQUEST,
+	  HEAD "3Z shallotd[1] info relay: flow_ended caller=1.2.3.4:5 "
+	       "service=9.9.9.9:80 by=close target=a1 flow_age_ms=900"},
+	 3,
+	 "the target took long"},
+	{"collected-lines-of-two-nodes",
+	 {"  2.5 node-b" REQUEST, "  -1.5 node-a" FLOW FORWARD "unanswered"},
+	 2,
+	 "a target left the opening packet without an answer"},
+	{"other-lines",
+	 {"", "garbage", "a b info c: d", HEAD "1Z" OTHER},
+	 0,
+	 NULL},
+};
+
+static void free_line(gpointer line)
+{
+	log_line_free(line);
+}
+
+static GPtrArray *parse(const char *const *texts)
+{
+	GPtrArray *lines = g_ptr_array_new_with_free_func(free_line);
+
+	for (uint32_t i = 0; i < LINE_COUNT_MAX && texts[i]; i++) {
+		struct log_line *line = log_line_parse(texts[i]);
+
+		if (line)
+			g_ptr_array_add(lines, line);
+	}
+	return lines;
+}
+
+START_TEST(test_story)
+{
+	GPtrArray *lines = parse(rows[_i].lines);
+	struct flow_story *story = flow_story_new("abc", lines);
+
+	test_row("explain", rows[_i].name);
+	ck_assert_uint_eq(flow_story_lines(story)->len, rows[_i].count);
+	ck_assert_pstr_eq(flow_story_cause(story), rows[_i].cause);
+	flow_story_free(story);
+	g_ptr_array_free(lines, TRUE);
+}
+END_TEST
+
+/* A line's fields, quoted ones included. */
+START_TEST(test_fields)
+{
+	struct log_line *line = log_line_parse(
+		HEAD "1Z shallotd[1] err feed: failed a=1 b=\"two words\" c=");
+
+	test_row("explain", "fields");
+	ck_assert_str_eq(log_line_task(line), "feed");
+	ck_assert_str_eq(log_line_event(line), "failed");
+	ck_assert_str_eq(log_line_field(line, "a"), "1");
+	ck_assert_str_eq(log_line_field(line, "b"), "two words");
+	ck_assert_str_eq(log_line_field(line, "c"), "");
+	ck_assert_ptr_null(log_line_field(line, "d"));
+	log_line_free(line);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("explain");
+	TCase *tcase = tcase_create("explain");
+
+	tcase_add_loop_test(tcase, test_story, 0, G_N_ELEMENTS(rows));
+	tcase_add_test(tcase, test_fields);
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
--- a/daemon/include/daemon/metrics_message.h
+++ b/daemon/include/daemon/metrics_message.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 #include <task/counter_set.h>
+#include <task/histogram.h>
 #include <task/task.h>
 
 /* Asks a task for its counters; the task answers to reply_to. */
@@ -25,5 +26,8 @@
 struct message *metrics_request_new(struct task *reply_to, uint64_t request_id);
 void metrics_request_answer(struct message *request,
 			    const struct counter_set *counters);
+void metrics_request_answer_timed(struct message *request,
+				  const struct counter_set *counters,
+				  const struct histogram *histogram);
 
 #endif
--- a/daemon/src/metrics_message.c
+++ b/daemon/src/metrics_message.c
@@ -29,11 +29,13 @@
 }
 
 /*
- * Sends the counters to the task that asked. An answer that finds the mailbox
- * full or closed is dropped: the asker then times out and reports less.
+ * Sends counters and, where there is one, a histogram to the task that asked.
+ * An answer that finds the mailbox full or closed is dropped: the asker then
+ * times out and reports less.
  */
-void metrics_request_answer(struct message *request,
-			    const struct counter_set *counters)
+void metrics_request_answer_timed(struct message *request,
+				  const struct counter_set *counters,
+				  const struct histogram *histogram)
 {
 	const struct metrics_request *asked = (struct metrics_request *)request;
 	struct metrics_reply *reply = g_new0(struct metrics_reply, 1);
@@ -42,6 +44,15 @@
 	reply->request_id = asked->request_id;
 	reply->text = g_string_new(NULL);
 	counter_set_render(counters, reply->text);
+	if (histogram)
+		histogram_render(histogram, reply->text);
 	if (task_post(asked->reply_to, &reply->message) != POST_TAKEN)
 		message_free(&reply->message);
 }
+
+/* Sends the counters alone. */
+void metrics_request_answer(struct message *request,
+			    const struct counter_set *counters)
+{
+	metrics_request_answer_timed(request, counters, NULL);
+}
--- a/daemon/src/relay/relay_log.c
+++ b/daemon/src/relay/relay_log.c
@@ -3,6 +3,9 @@
 #include <core/relay_tag.h>
 #include <inttypes.h>
 
+/* Flows shorter than the tightest aim of a service need no line. */
+#define SLOW_FLOW_MS 100
+
 static const char *const action_names[] = {
 	[RELAY_FORWARD] = "forward",
 	[RELAY_RESET] = "reset",
@@ -30,6 +33,40 @@
 		  state->news_age_ms);
 }
 
+/* One line for each request: its id leads to its flow. */
+void relay_log_request(struct log *log, const struct relay_packet *packet,
+		       const struct relay_verdict *verdict,
+		       const char *request_id)
+{
+	char caller[ENDPOINT_TEXT_BYTES];
+	char service[ENDPOINT_TEXT_BYTES];
+
+	log_write(log, LOG_LEVEL_INFO, "request",
+		  "id=%s caller=%s service=%s target=%" PRIx64
+		  " try=%u flow_age_ms=%" PRIu32,
+		  request_id, endpoint_format(&packet->caller, caller),
+		  endpoint_format(&packet->service, service),
+		  verdict->target_id, verdict->try_count, verdict->flow_age_ms);
+}
+
+/* One line for a flow that took long or that its caller reset. */
+void relay_log_closed(struct log *log, const struct relay_packet *packet,
+		      const struct relay_verdict *verdict)
+{
+	char caller[ENDPOINT_TEXT_BYTES];
+	char service[ENDPOINT_TEXT_BYTES];
+
+	if (!packet->is_reset && verdict->flow_age_ms < SLOW_FLOW_MS)
+		return;
+	log_write(log, LOG_LEVEL_INFO, "flow_ended",
+		  "caller=%s service=%s by=%s target=%" PRIx64
+		  " flow_age_ms=%" PRIu32,
+		  endpoint_format(&packet->caller, caller),
+		  endpoint_format(&packet->service, service),
+		  packet->is_reset ? "reset" : "close", verdict->target_id,
+		  verdict->flow_age_ms);
+}
+
 /* One line for each change of a target. */
 void relay_log_target(struct log *log, const struct target_change *change,
 		      int64_t revision)
--- a/daemon/src/relay/relay_task.c
+++ b/daemon/src/relay/relay_task.c
@@ -39,6 +39,7 @@
 	struct relay_director *director;
 	struct relay_peers *peers;
 	struct relay_counters *counters;
+	struct histogram *answer_times;
 	struct log *log;
 	struct task *drain_reply_to;
 	int64_t drain_ms;
@@ -94,6 +95,25 @@
 	};
 }
 
+/* A line for each decision, each request, and each flow that ended oddly. */
+static void log_packet(struct relay_task *relay,
+		       const struct relay_packet *packet,
+		       const struct relay_verdict *verdict,
+		       const uint8_t *bytes, uint32_t length_bytes,
+		       int64_t now_ms)
+{
+	struct relay_log_state state = log_state(relay, now_ms);
+	char request_id[ECHO_REQUEST_ID_BYTES];
+
+	if (verdict->is_new_decision)
+		relay_log_verdict(relay->log, packet, verdict, &state);
+	else if (packet->payload_bytes > 0 &&
+		 echo_packet_request_id(request_id, bytes, length_bytes))
+		relay_log_request(relay->log, packet, verdict, request_id);
+	if (verdict->is_closed)
+		relay_log_closed(relay->log, packet, verdict);
+}
+
 static void arm_retry(struct relay_task *relay, int64_t due_ms, int64_t now_ms)
 {
 	if (due_ms >= relay->retry_ms)
@@ -121,11 +141,9 @@
 	verdict = relay_director_packet(relay->director, &packet, bytes,
 					length_bytes, now_ms);
 	relay_counters_verdict(relay->counters, &verdict);
-	if (verdict.is_new_decision) {
-		struct relay_log_state state = log_state(relay, now_ms);
-
-		relay_log_verdict(relay->log, &packet, &verdict, &state);
-	}
+	if (verdict.is_answered)
+		histogram_add(relay->answer_times, verdict.answer_ms);
+	log_packet(relay, &packet, &verdict, bytes, length_bytes, now_ms);
 	if (verdict.action == RELAY_FORWARD)
 		forward(relay, &verdict, bytes, length_bytes);
 	else if (verdict.action == RELAY_RESET)
@@ -298,7 +316,7 @@
 				   relay_director_directory(relay->director)));
 	counter_set_assign(counters, RELAY_VERSION,
 			   relay_director_version(relay->director));
-	metrics_request_answer(message, counters);
+	metrics_request_answer_timed(message, counters, relay->answer_times);
 }
 
 static void take_drain(struct relay_task *relay, struct message *message)
@@ -386,6 +404,9 @@
 	relay->settings = settings;
 	relay->retry_ms = INT64_MAX;
 	relay->counters = relay_counters_new();
+	relay->answer_times = histogram_new(
+		"shallot_relay_answer_ms",
+		"time from an opening packet to the target's first sign");
 	relay->log = log_new(&log_options);
 	relay->director = make_director(relay);
 	relay->task = task_new(&options, error);
@@ -403,6 +424,7 @@
 	task_free(relay->task);
 	relay_director_free(relay->director);
 	relay_counters_free(relay->counters);
+	histogram_free(relay->answer_times);
 	log_free(relay->log);
 	g_free(relay);
 }
--- a/task/include/task/log.h
+++ b/task/include/task/log.h
@@ -13,8 +13,9 @@
 };
 
 /*
- * A task's own log: lines to standard error, at most rate_per_s of them. The
- * lines left out are counted and the count is printed when lines flow again.
+ * A task's own log: lines to a descriptor, at most rate_per_s of them. Writing
+ * never waits for a reader. The lines left out, by rate or as the reader was
+ * behind, are counted and the count is printed when lines flow again.
  */
 struct log;
 
--- a/task/src/log.c
+++ b/task/src/log.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <inttypes.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -41,6 +42,17 @@
 	g_free(log);
 }
 
+/*
+ * A pipe that is writable takes PIPE_BUF bytes without waiting, which is more
+ * than one line of each task.
+ */
+static bool is_writable(const struct log *log)
+{
+	struct pollfd state = {.fd = log->options.fd, .events = POLLOUT};
+
+	return poll(&state, 1, 0) == 1 && (state.revents & POLLOUT);
+}
+
 /* Writes one whole line with one call, so that lines do not mix. */
 static void emit(struct log *log, enum log_level level, const char *event,
 		 const char *fields)
@@ -52,6 +64,10 @@
 	int length;
 	ssize_t written;
 
+	if (!is_writable(log)) {
+		log->left_out_count++;
+		return;
+	}
 	strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%SZ",
 		 gmtime_r(&now, &parts));
 	length = snprintf(line, sizeof(line), "%s %s[%d] %s %s: %s%s%s\n",
@@ -88,6 +104,8 @@
 
 	if (log->left_out_count == log->left_out_reported)
 		return;
+	if (!is_writable(log))
+		return;
 	snprintf(fields, sizeof(fields), "count=%" PRIu64,
 		 log->left_out_count - log->left_out_reported);
 	log->left_out_reported = log->left_out_count;
