Hold opening packets for a moment while a node starts

Ruled out: reading page by page and forwarding with what is known, which would send the herd of retries to the first third of the targets.

Change: a node that starts holds opening packets for at most 180 ms, before the callers' own copies, and decides when it knows routes and targets.

--- a/core/include/core/relay_director.h
+++ b/core/include/core/relay_director.h
@@ -32,6 +32,7 @@
 	uint32_t zone_id;
 	uint32_t flow_capacity;
 	uint64_t seed;
+	int64_t start_ms;
 	struct relay_effects effects;
 };
 
@@ -52,6 +53,8 @@
 struct relay_directory *
 relay_director_directory(struct relay_director *director);
 struct relay_loads *relay_director_loads(struct relay_director *director);
+bool relay_director_is_starting(const struct relay_director *director,
+				int64_t now_ms);
 bool relay_director_is_ready(const struct relay_director *director);
 uint32_t relay_director_flow_count(const struct relay_director *director);
 
--- a/core/include/core/relay_verdict.h
+++ b/core/include/core/relay_verdict.h
@@ -8,6 +8,8 @@
 	RELAY_FORWARD,
 	RELAY_RESET,
 	RELAY_DROP,
+	/* Kept for a moment: the node has just started and will know more. */
+	RELAY_HOLD,
 };
 
 /*
--- a/core/src/relay/relay_director.c
+++ b/core/src/relay/relay_director.c
@@ -11,6 +11,12 @@
  */
 #define COUNTED_IDLE_MS 2000
 
+/*
+ * How long a node that starts holds opening packets. It reads the store in 20
+ * to 120 ms, and callers send copies after 200 ms.
+ */
+#define START_HOLD_MS 180
+
 /* Used until the configuration says after how long flows may be forgotten. */
 #define IDLE_TIMEOUT_PRESET_MS 60000
 
@@ -166,6 +172,9 @@
 					   uint32_t length_bytes,
 					   int64_t now_ms)
 {
+	if (packet->is_opening && relay_director_is_starting(director, now_ms))
+		return (struct relay_verdict){.action = RELAY_HOLD,
+					      .reason = REASON_NOT_READY};
 	if (!director->routes)
 		return refuse(packet->is_opening ? RELAY_RESET : RELAY_DROP,
 			      REASON_NOT_READY);
@@ -264,6 +273,14 @@
 	return director->loads;
 }
 
+/* Tells whether the node has just started and may soon know enough. */
+bool relay_director_is_starting(const struct relay_director *director,
+				int64_t now_ms)
+{
+	return !relay_director_is_ready(director) &&
+	       now_ms - director->options.start_ms < START_HOLD_MS;
+}
+
 /* Tells whether the node knows enough to take new flows. */
 bool relay_director_is_ready(const struct relay_director *director)
 {
--- /dev/null
+++ b/daemon/src/relay/held_packets.c
@@ -0,0 +1,61 @@
+#include "held_packets.h"
+
+#include <glib.h>
+
+/* More than a node of today gets in the moment in which it holds packets. */
+#define PACKET_COUNT_MAX 512
+
+struct held_packets {
+	GQueue queue;
+};
+
+/* Makes an empty list; free it with held_packets_free. */
+struct held_packets *held_packets_new(void)
+{
+	struct held_packets *held = g_new0(struct held_packets, 1);
+
+	g_queue_init(&held->queue);
+	return held;
+}
+
+/* Frees the list; NULL is allowed. */
+void held_packets_free(struct held_packets *held)
+{
+	if (!held)
+		return;
+	g_queue_clear_full(&held->queue, (GDestroyNotify)g_bytes_unref);
+	g_free(held);
+}
+
+/* Keeps a copy; false when there is no room for it. */
+bool held_packets_add(struct held_packets *held, const uint8_t *bytes,
+		      uint32_t length_bytes)
+{
+	if (g_queue_get_length(&held->queue) >= PACKET_COUNT_MAX)
+		return false;
+	g_queue_push_tail(&held->queue, g_bytes_new(bytes, length_bytes));
+	return true;
+}
+
+/* Tells whether none waits. */
+bool held_packets_is_empty(const struct held_packets *held)
+{
+	return held->queue.length == 0;
+}
+
+/* Gives all to take, which may add to the list again. */
+void held_packets_release(struct held_packets *held, void *context,
+			  void (*take)(void *context, const uint8_t *bytes,
+				       uint32_t length_bytes))
+{
+	guint count = g_queue_get_length(&held->queue);
+
+	for (guint i = 0; i < count; i++) {
+		GBytes *packet = g_queue_pop_head(&held->queue);
+		gsize length_bytes;
+		const uint8_t *bytes = g_bytes_get_data(packet, &length_bytes);
+
+		take(context, bytes, (uint32_t)length_bytes);
+		g_bytes_unref(packet);
+	}
+}
--- a/daemon/src/relay/relay_counters.c
+++ b/daemon/src/relay/relay_counters.c
@@ -36,6 +36,7 @@
 	[RELAY_FORWARD] = "forward",
 	[RELAY_RESET] = "reset",
 	[RELAY_DROP] = "drop",
+	[RELAY_HOLD] = "hold",
 };
 
 struct relay_counters {
--- a/daemon/src/relay/relay_counters.h
+++ b/daemon/src/relay/relay_counters.h
@@ -5,7 +5,7 @@
 #include <core/relay_verdict.h>
 #include <task/counter_set.h>
 
-#define RELAY_ACTION_COUNT (RELAY_DROP + 1)
+#define RELAY_ACTION_COUNT (RELAY_HOLD + 1)
 
 /* Rows of the counters; those per reason come in runs of REASON_COUNT. */
 enum relay_counter {
--- a/daemon/src/relay/relay_log.c
+++ b/daemon/src/relay/relay_log.c
@@ -10,6 +10,7 @@
 	[RELAY_FORWARD] = "forward",
 	[RELAY_RESET] = "reset",
 	[RELAY_DROP] = "drop",
+	[RELAY_HOLD] = "hold",
 };
 
 /* One line for each decision on a flow; the flow is named by its addresses. */
--- a/daemon/src/relay/relay_task.c
+++ b/daemon/src/relay/relay_task.c
@@ -1,5 +1,6 @@
 #include <daemon/relay_task.h>
 
+#include "held_packets.h"
 #include "relay_counters.h"
 #include "relay_log.h"
 #include "relay_peers.h"
@@ -40,6 +41,7 @@
 	struct relay_peers *peers;
 	struct relay_counters *counters;
 	struct histogram *answer_times;
+	struct held_packets *held;
 	struct log *log;
 	struct task *drain_reply_to;
 	int64_t drain_ms;
@@ -122,16 +124,35 @@
 	timer_once(relay->retry_timer, (uint32_t)MAX(due_ms - now_ms, 1));
 }
 
-static void on_packet(void *context, const struct endpoint *from,
-		      const uint8_t *bytes, uint32_t length_bytes)
+static void carry_out(struct relay_task *relay,
+		      const struct relay_packet *packet,
+		      const struct relay_verdict *verdict, const uint8_t *bytes,
+		      uint32_t length_bytes)
+{
+	switch (verdict->action) {
+	case RELAY_FORWARD:
+		forward(relay, verdict, bytes, length_bytes);
+		break;
+	case RELAY_RESET:
+		reset(relay, packet);
+		break;
+	case RELAY_HOLD:
+		if (!held_packets_add(relay->held, bytes, length_bytes))
+			reset(relay, packet);
+		break;
+	case RELAY_DROP:
+		break;
+	}
+}
+
+static void take_packet(void *context, const uint8_t *bytes,
+			uint32_t length_bytes)
 {
 	struct relay_task *relay = context;
 	int64_t now_ms = task_now_ms();
 	struct relay_packet packet;
 	struct relay_verdict verdict;
 
-	counter_set_add(counters_of(relay), RELAY_PACKETS, 1);
-	relay->packet_ms = now_ms;
 	if (!echo_packet_parse(&packet, bytes, length_bytes)) {
 		verdict = (struct relay_verdict){.action = RELAY_DROP,
 						 .reason = REASON_MALFORMED};
@@ -144,15 +165,31 @@
 	if (verdict.is_answered)
 		histogram_add(relay->answer_times, verdict.answer_ms);
 	log_packet(relay, &packet, &verdict, bytes, length_bytes, now_ms);
-	if (verdict.action == RELAY_FORWARD)
-		forward(relay, &verdict, bytes, length_bytes);
-	else if (verdict.action == RELAY_RESET)
-		reset(relay, &packet);
+	carry_out(relay, &packet, &verdict, bytes, length_bytes);
 	if (packet.is_opening)
 		arm_retry(relay, relay_director_tick(relay->director, now_ms),
 			  now_ms);
 }
 
+static void on_packet(void *context, const struct endpoint *from,
+		      const uint8_t *bytes, uint32_t length_bytes)
+{
+	struct relay_task *relay = context;
+
+	counter_set_add(counters_of(relay), RELAY_PACKETS, 1);
+	relay->packet_ms = task_now_ms();
+	take_packet(relay, bytes, length_bytes);
+}
+
+/* Decides anew on what was held, once the start is over. */
+static void release_held(struct relay_task *relay)
+{
+	if (held_packets_is_empty(relay->held) ||
+	    relay_director_is_starting(relay->director, task_now_ms()))
+		return;
+	held_packets_release(relay->held, relay, take_packet);
+}
+
 static void on_forward_again(void *context, const struct relay_verdict *verdict,
 			     const uint8_t *bytes, uint32_t length_bytes)
 {
@@ -231,6 +268,7 @@
 	relay_director_tick(relay->director, now_ms);
 	relay_peers_tick(relay->peers, now_ms);
 	report_ready(relay);
+	release_held(relay);
 	answer_drain(relay, now_ms);
 }
 
@@ -303,6 +341,7 @@
 	if (routes && relay_director_set_routes(relay->director, routes))
 		relay_log_routes(relay->log, routes, news->revision);
 	report_ready(relay);
+	release_held(relay);
 }
 
 static void take_metrics(struct relay_task *relay, struct message *message)
@@ -368,6 +407,7 @@
 		.zone_id = zone_id_from_name(settings->zone),
 		.flow_capacity = settings->flow_capacity,
 		.seed = settings->flow_seed,
+		.start_ms = task_now_ms(),
 		.effects = {.context = relay,
 			    .forward_again = on_forward_again,
 			    .flow_moved = on_flow_moved,
@@ -407,6 +447,7 @@
 	relay->answer_times = histogram_new(
 		"shallot_relay_answer_ms",
 		"time from an opening packet to the target's first sign");
+	relay->held = held_packets_new();
 	relay->log = log_new(&log_options);
 	relay->director = make_director(relay);
 	relay->task = task_new(&options, error);
@@ -425,6 +466,7 @@
 	relay_director_free(relay->director);
 	relay_counters_free(relay->counters);
 	histogram_free(relay->answer_times);
+	held_packets_free(relay->held);
 	log_free(relay->log);
 	g_free(relay);
 }
