Let a node that starts ask whoever sends it a report

Ruled out: more seeds, which the settings do not give; a list of nodes kept on the VM, which keeps nothing.

Change: nodes that live send their reports to the nodes that the store lists. A node that knows nothing takes the sender of such a report as a seed and asks it at once.

--- a/core/include/core/relay_sources.h
+++ b/core/include/core/relay_sources.h
@@ -29,6 +29,8 @@
 			     const GArray *peers);
 void relay_sources_set_seeds(struct relay_sources *sources,
 			     const GArray *endpoints);
+void relay_sources_add_seed(struct relay_sources *sources,
+			    const struct endpoint *endpoint);
 struct relay_source relay_sources_next(struct relay_sources *sources,
 				       int64_t now_ms);
 void relay_sources_failed(struct relay_sources *sources, int64_t now_ms);
--- a/core/src/relay/relay_sources.c
+++ b/core/src/relay/relay_sources.c
@@ -10,6 +10,9 @@
 #define READER_COUNT_LEAST 2
 #define FOLLOWER_COUNT_MAX 48
 
+/* Seeds of the settings and nodes that made themselves known. */
+#define SEED_COUNT_MAX 16
+
 /* Nodes that are asked in a row before the store is asked again. */
 #define PEER_TRY_COUNT 2
 
@@ -129,6 +132,34 @@
 	return find(sources->peers, sources->self_id) != NULL;
 }
 
+static bool is_seed(const struct relay_sources *sources,
+		    const struct endpoint *endpoint)
+{
+	for (guint i = 0; i < sources->seeds->len; i++) {
+		if (endpoint_equal(
+			    &g_array_index(sources->seeds, struct candidate, i)
+				     .peer.endpoint,
+			    endpoint))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Takes the address of a node that has made itself known, to be asked as a
+ * seed before the others.
+ */
+void relay_sources_add_seed(struct relay_sources *sources,
+			    const struct endpoint *endpoint)
+{
+	struct candidate candidate = {.peer.endpoint = *endpoint};
+
+	if (sources->seeds->len >= SEED_COUNT_MAX || is_seed(sources, endpoint))
+		return;
+	g_array_prepend_val(sources->seeds, candidate);
+	sources->peer_try_count = 0;
+}
+
 static bool is_paused(const struct candidate *candidate, int64_t now_ms)
 {
 	return now_ms < candidate->paused_until_ms;
--- a/core/test/relay_sources_test.c
+++ b/core/test/relay_sources_test.c
@@ -11,6 +11,8 @@
 	/* a nodes are listed, this one with the b-th most bandwidth. */
 	LISTED,
 	SEEDS,
+	/* A node makes itself known. */
+	STRANGER,
 	/* Asks for the next source and expects a kind; b 1: not the last. */
 	NEXT_STORE,
 	NEXT_PEER,
@@ -43,6 +45,17 @@
 	  {7, FAILS, 0, 0},
 	  {7, NEXT_NONE, 0, 0},
 	  {400, NEXT_STORE, 0, 0}}},
+	{"stranger-is-asked-though-seeds-failed",
+	 {{0, SEEDS, 2, 0},
+	  {0, NEXT_STORE, 0, 0},
+	  {5, FAILS, 0, 0},
+	  {5, NEXT_PEER, 0, 0},
+	  {6, FAILS, 0, 0},
+	  {6, NEXT_PEER, 0, 0},
+	  {7, FAILS, 0, 0},
+	  {7, NEXT_NONE, 0, 0},
+	  {8, STRANGER, 0, 0},
+	  {8, NEXT_PEER, 0, 0}}},
 	{"node-of-much-bandwidth-reads-the-store",
 	 {{0, LISTED, 8, 1}, {0, IS_READER, 0, 0}, {0, NEXT_STORE, 0, 0}}},
 	{"other-node-follows",
@@ -124,6 +137,14 @@
 	g_array_free(seeds, TRUE);
 }
 
+static void add_stranger(struct relay_sources *sources)
+{
+	struct endpoint stranger;
+
+	endpoint_parse(&stranger, "10.0.0.3:7");
+	relay_sources_add_seed(sources, &stranger);
+}
+
 static void expect(struct relay_sources *sources, int64_t now_ms,
 		   enum relay_source_kind kind)
 {
@@ -143,6 +164,9 @@
 	case SEEDS:
 		set_seeds(sources, step->a);
 		break;
+	case STRANGER:
+		add_stranger(sources);
+		break;
 	case NEXT_STORE:
 		expect(sources, step->at_ms, RELAY_SOURCE_STORE);
 		break;
--- a/daemon/include/daemon/relay_task.h
+++ b/daemon/include/daemon/relay_task.h
@@ -14,7 +14,8 @@
 struct relay_task *relay_task_new(const struct settings *settings,
 				  GError **error);
 void relay_task_free(struct relay_task *relay);
-void relay_task_set_admin(struct relay_task *relay, struct task *admin);
+void relay_task_connect(struct relay_task *relay, struct task *admin,
+			struct task *feed);
 struct task *relay_task_task(struct relay_task *relay);
 
 #endif
--- a/daemon/src/relay/feed_task.c
+++ b/daemon/src/relay/feed_task.c
@@ -9,6 +9,7 @@
 #include <daemon/drain_message.h>
 #include <daemon/log_settings_message.h>
 #include <daemon/metrics_message.h>
+#include <daemon/stranger_message.h>
 #include <inttypes.h>
 #include <task/timer.h>
 #include <unistd.h>
@@ -346,6 +347,19 @@
 	return true;
 }
 
+/* While a source answers or is being asked, the stranger waits its turn. */
+static void take_stranger(struct feed_task *feed, struct message *message)
+{
+	const struct stranger_message *stranger =
+		(const struct stranger_message *)message;
+
+	if (kv_mirror_revision(feed->mirror) != 0)
+		return;
+	relay_sources_add_seed(feed->sources, &stranger->endpoint);
+	if (feed->source.kind == RELAY_SOURCE_NONE)
+		timer_once(feed->retry_timer, 0);
+}
+
 static void drain(struct feed_task *feed, struct message *message)
 {
 	struct task *reply_to = ((struct drain_message *)message)->reply_to;
@@ -363,6 +377,8 @@
 		metrics_request_answer(message, feed->counters);
 	else if (message->type == &drain_message_type)
 		drain(feed, message);
+	else if (message->type == &stranger_message_type)
+		take_stranger(feed, message);
 	else if (message->type == &log_settings_message_type)
 		log_settings_message_apply(
 			(struct log_settings_message *)message, feed->log);
--- a/daemon/src/relay/relay_peers.c
+++ b/daemon/src/relay/relay_peers.c
@@ -87,10 +87,11 @@
 	struct relay_peers *peers = context;
 	struct relay_message message;
 
-	if (!is_known(peers, from)) {
-		count(peers, RELAY_PEER_STRAY);
-	} else if (!relay_codec_decode(&message, bytes, length_bytes)) {
+	if (!relay_codec_decode(&message, bytes, length_bytes)) {
 		count(peers, RELAY_PEER_MALFORMED);
+	} else if (!is_known(peers, from)) {
+		count(peers, RELAY_PEER_STRAY);
+		peers->options.on_stranger(peers->options.context, from);
 	} else {
 		count(peers, RELAY_PEER_RECEIVED);
 		take(peers, &message);
--- a/daemon/src/relay/relay_peers.h
+++ b/daemon/src/relay/relay_peers.h
@@ -10,7 +10,8 @@
 
 /*
  * What a relay task exchanges with other nodes: its open flows for each
- * target, and flows that have come to it.
+ * target, and flows that have come to it. on_stranger gets the address of a
+ * node that the store has not listed here.
  */
 struct relay_peers;
 
@@ -18,6 +19,8 @@
 	const struct settings *settings;
 	struct relay_director *director;
 	struct counter_set *counters;
+	void *context;
+	void (*on_stranger)(void *context, const struct endpoint *from);
 };
 
 struct relay_peers *relay_peers_new(struct task *task,
--- a/daemon/src/relay/relay_task.c
+++ b/daemon/src/relay/relay_task.c
@@ -11,6 +11,7 @@
 #include <daemon/metrics_message.h>
 #include <daemon/news_message.h>
 #include <daemon/ready_message.h>
+#include <daemon/stranger_message.h>
 #include <platform/echo_packet.h>
 #include <string.h>
 #include <task/timer.h>
@@ -34,6 +35,7 @@
 	struct task *task;
 	const struct settings *settings;
 	struct task *admin;
+	struct task *feed;
 	struct udp_socket *socket;
 	struct timer *tick_timer;
 	struct timer *retry_timer;
@@ -272,6 +274,19 @@
 	answer_drain(relay, now_ms);
 }
 
+/* A node that knows something already hears of others from the store. */
+static void on_stranger(void *context, const struct endpoint *from)
+{
+	struct relay_task *relay = context;
+	struct message *message;
+
+	if (relay->is_ready || !relay->feed)
+		return;
+	message = stranger_message_new(from);
+	if (task_post(relay->feed, message) != POST_TAKEN)
+		message_free(message);
+}
+
 static bool start(void *context, struct task *task, GError **error)
 {
 	struct relay_task *relay = context;
@@ -285,6 +300,8 @@
 		.settings = relay->settings,
 		.director = relay->director,
 		.counters = counters_of(relay),
+		.context = relay,
+		.on_stranger = on_stranger,
 	};
 
 	relay->socket = udp_socket_new(task, &options, error);
@@ -471,10 +488,15 @@
 	g_free(relay);
 }
 
-/* Says who is told whether the node is ready, before the start. */
-void relay_task_set_admin(struct relay_task *relay, struct task *admin)
+/*
+ * Says who is told whether the node is ready, and who of nodes that the store
+ * has not listed, before the start.
+ */
+void relay_task_connect(struct relay_task *relay, struct task *admin,
+			struct task *feed)
 {
 	relay->admin = admin;
+	relay->feed = feed;
 }
 
 /* Returns the task, to start it and to post messages to it. */
--- a/daemon/src/shallotd.c
+++ b/daemon/src/shallotd.c
@@ -156,7 +156,8 @@
 	daemon->admin = admin_task_new(&admin, error);
 	if (!daemon->admin)
 		return false;
-	relay_task_set_admin(daemon->relay, admin_task_task(daemon->admin));
+	relay_task_connect(daemon->relay, admin_task_task(daemon->admin),
+			   feed_task_task(daemon->feed));
 	daemon->tasks[daemon->task_count++] = admin_task_task(daemon->admin);
 	daemon->tasks[daemon->task_count++] = relay_task_task(daemon->relay);
 	daemon->tasks[daemon->task_count++] = feed_task_task(daemon->feed);
