Tell a flow's story from the nodes that carried it

Cause: a story held every node's lines on the flow's target since the start, and readings of the whole store repeated them. The thread sanitizer reported that the stand-in store answered watches from the test's thread.

Change: a story holds what the flow's own nodes heard of its target within five seconds, and a start of the node behind it. Only changes of targets are logged. A reading that is called too old at once is repeated after 150 ms, not at once. The stand-in's own task answers its watches.

--- a/ctl/include/ctl/log_line.h
+++ b/ctl/include/ctl/log_line.h
@@ -5,14 +5,15 @@
 #include <stdbool.h>
 
 /*
- * One line of a node's log, taken apart: what stands before the task, the
- * task, the event and its fields.
+ * One line of a node's log, taken apart: its time in seconds, the node and
+ * process that wrote it, the task, the event and its fields.
  */
 struct log_line;
 
 struct log_line *log_line_parse(const char *text);
 void log_line_free(struct log_line *line);
-const char *log_line_time(const struct log_line *line);
+double log_line_time_s(const struct log_line *line);
+const char *log_line_source(const struct log_line *line);
 const char *log_line_task(const struct log_line *line);
 const char *log_line_event(const struct log_line *line);
 const char *log_line_field(const struct log_line *line, const char *name);
--- a/ctl/src/flow_story.c
+++ b/ctl/src/flow_story.c
@@ -8,9 +8,15 @@
 /* A node hears of changes within milliseconds and of silence within seconds. */
 #define NEWS_OLD_MS 60000
 
+/* Changes of a target tell of a flow when they come so shortly before it. */
+#define TARGET_BEFORE_S 5.0
+
 struct flow_story {
 	GPtrArray *lines;
 	GHashTable *targets;
+	GHashTable *sources;
+	double first_s;
+	double last_s;
 	char *caller;
 	char *service;
 	const struct log_line *odd_line;
@@ -60,6 +66,11 @@
 	return is_field(line, "reason", "tag_unknown");
 }
 
+static bool is_restart(const struct log_line *line)
+{
+	return strcmp(log_line_event(line), "started") == 0;
+}
+
 static bool is_target_gone(const struct log_line *line)
 {
 	return strcmp(log_line_event(line), "target") == 0 &&
@@ -97,6 +108,7 @@
 	{is_no_service, "the configuration in force has no such route"},
 	{is_no_target, "no target of the service took new flows"},
 	{is_tag_unknown, "the node did not know the flow's target"},
+	{is_restart, "the node that carried the flow started anew"},
 	{is_retry, "a target left the opening packet without an answer"},
 	{is_target_gone, "the target's entry went while the flow was open"},
 	{is_avoided, "the target or its zone left opening packets unanswered"},
@@ -127,42 +139,80 @@
 	       is_field(line, "service", story->service);
 }
 
-static void note_targets(struct flow_story *story, const GPtrArray *lines)
+static void note_line(struct flow_story *story, const struct log_line *line)
+{
+	const char *target = log_line_field(line, "target");
+	double time_s = log_line_time_s(line);
+
+	if (target && strcmp(target, "0") != 0)
+		g_hash_table_add(story->targets, g_strdup(target));
+	if (g_hash_table_size(story->sources) == 0) {
+		story->first_s = time_s;
+		story->last_s = time_s;
+	}
+	g_hash_table_add(story->sources, g_strdup(log_line_source(line)));
+	story->first_s = MIN(story->first_s, time_s);
+	story->last_s = MAX(story->last_s, time_s);
+}
+
+static void note_lines(struct flow_story *story, const GPtrArray *lines)
 {
 	for (guint i = 0; i < lines->len; i++) {
 		const struct log_line *line = g_ptr_array_index(lines, i);
-		const char *target = log_line_field(line, "target");
 
-		if (target && strcmp(target, "0") != 0 &&
-		    is_of_flow(story, line))
-			g_hash_table_add(story->targets, g_strdup(target));
+		if (is_of_flow(story, line))
+			note_line(story, line);
 	}
 }
 
-/* Of a target the entries and its health count, not its other flows. */
+/*
+ * Of a target, what the nodes that carried the flow heard of its entry and
+ * health around that time; not its other flows.
+ */
 static bool is_of_target(const struct flow_story *story,
 			 const struct log_line *line)
 {
 	const char *event = log_line_event(line);
 	const char *target = log_line_field(line, "target");
+	double time_s = log_line_time_s(line);
 
 	return target &&
 	       (strcmp(event, "target") == 0 ||
 		strcmp(event, "avoided") == 0) &&
-	       g_hash_table_contains(story->targets, target);
+	       g_hash_table_contains(story->targets, target) &&
+	       g_hash_table_contains(story->sources, log_line_source(line)) &&
+	       time_s >= story->first_s - TARGET_BEFORE_S &&
+	       time_s <= story->last_s + TARGET_BEFORE_S;
+}
+
+/* Collected lines name the node before the process. */
+static gboolean is_same_node(gpointer a, gpointer b, gpointer source)
+{
+	size_t length = strcspn(source, " ");
+
+	return strncmp(a, source, length + 1) == 0;
+}
+
+/* A start of the same node shortly after the flow's last line. */
+static bool is_start_behind(const struct flow_story *story,
+			    const struct log_line *line)
+{
+	double time_s = log_line_time_s(line);
+	const char *source = log_line_source(line);
+
+	return strcmp(log_line_event(line), "started") == 0 &&
+	       time_s > story->last_s &&
+	       time_s <= story->last_s + TARGET_BEFORE_S &&
+	       strchr(source, '[') > strchr(source, ' ') &&
+	       g_hash_table_find(story->sources, is_same_node,
+				 (gpointer)source) != NULL;
 }
 
 static gint compare_times(gconstpointer a, gconstpointer b)
 {
-	const struct log_line *left = *(const struct log_line *const *)a;
-	const struct log_line *right = *(const struct log_line *const *)b;
-	const char *left_time = log_line_time(left);
-	const char *right_time = log_line_time(right);
-	double left_s = g_ascii_strtod(left_time, NULL);
-	double right_s = g_ascii_strtod(right_time, NULL);
+	double left_s = log_line_time_s(*(const struct log_line *const *)a);
+	double right_s = log_line_time_s(*(const struct log_line *const *)b);
 
-	if (strchr(left_time, 'T'))
-		return strcmp(left_time, right_time);
 	return left_s < right_s ? -1 : left_s > right_s ? 1 : 0;
 }
 
@@ -171,7 +221,8 @@
 	for (guint i = 0; i < lines->len; i++) {
 		struct log_line *line = g_ptr_array_index(lines, i);
 
-		if (is_of_flow(story, line) || is_of_target(story, line))
+		if (is_of_flow(story, line) || is_of_target(story, line) ||
+		    is_start_behind(story, line))
 			g_ptr_array_add(story->lines, line);
 	}
 	g_ptr_array_sort(story->lines, compare_times);
@@ -204,10 +255,12 @@
 	story->lines = g_ptr_array_new();
 	story->targets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	story->sources =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	find_flow(story, id, lines);
 	if (!story->caller)
 		return story;
-	note_targets(story, lines);
+	note_lines(story, lines);
 	collect(story, lines);
 	judge(story);
 	return story;
@@ -220,6 +273,7 @@
 		return;
 	g_ptr_array_free(story->lines, TRUE);
 	g_hash_table_destroy(story->targets);
+	g_hash_table_destroy(story->sources);
 	g_free(story->caller);
 	g_free(story->service);
 	g_free(story);
--- a/ctl/src/log_line.c
+++ b/ctl/src/log_line.c
@@ -8,7 +8,8 @@
 /* fields maps a name to its value. */
 struct log_line {
 	char *text;
-	char *time;
+	double time_s;
+	char *source;
 	char *task;
 	char *event;
 	GHashTable *fields;
@@ -46,6 +47,31 @@
 	}
 }
 
+/* Lines that were collected may have the seconds of the run in front. */
+static double read_time_s(const char *text)
+{
+	GDateTime *time = g_date_time_new_from_iso8601(text, NULL);
+	double time_s;
+
+	if (!time)
+		return g_ascii_strtod(text, NULL);
+	time_s = (double)g_date_time_to_unix(time);
+	g_date_time_unref(time);
+	return time_s;
+}
+
+/* The words between time and level; a time among them does not name anyone. */
+static char *read_source(char **words, guint level_index)
+{
+	GString *source = g_string_new(NULL);
+
+	for (guint i = 1; i < level_index; i++) {
+		if (!strchr(words[i], 'T') || !strchr(words[i], ':'))
+			g_string_append_printf(source, "%s ", words[i]);
+	}
+	return g_string_free(source, FALSE);
+}
+
 /*
  * A line reads TIME PROGRAM LEVEL TASK: EVENT FIELDS; where lines were
  * collected, other words may stand before the level. Returns what follows the
@@ -60,7 +86,8 @@
 			continue;
 		event = strstr(line->text, words[i + 1]) +
 			strlen(words[i + 1]) + 1;
-		line->time = g_strdup(words[0]);
+		line->time_s = read_time_s(words[0]);
+		line->source = read_source(words, i);
 		line->task = g_strndup(words[i + 1], strlen(words[i + 1]) - 1);
 		line->event = g_strndup(event, strcspn(event, " "));
 		return event + strlen(line->event);
@@ -95,17 +122,23 @@
 	if (!line)
 		return;
 	g_free(line->text);
-	g_free(line->time);
+	g_free(line->source);
 	g_free(line->task);
 	g_free(line->event);
 	g_hash_table_destroy(line->fields);
 	g_free(line);
 }
 
-/* Returns the first word, which orders the lines of one run. */
-const char *log_line_time(const struct log_line *line)
+/* Returns the time of the line, in seconds of its clock. */
+double log_line_time_s(const struct log_line *line)
+{
+	return line->time_s;
+}
+
+/* Returns the node, where the line has one, and the process. */
+const char *log_line_source(const struct log_line *line)
 {
-	return line->time;
+	return line->source;
 }
 
 /* Returns the task that wrote the line. */
--- a/daemon/src/relay/feed_task.c
+++ b/daemon/src/relay/feed_task.c
@@ -28,6 +28,12 @@
 #define READER_PAUSE_MS 100
 #define DIRECT_PAUSE_MS 400
 
+/*
+ * A store that drops its history now may call what it has just told too old;
+ * it settles within a few hundred milliseconds.
+ */
+#define COMPACTED_PAUSE_MS 150
+
 /* A store call that writes this node's entry. */
 #define WRITE_TIMEOUT_MS 2000
 
@@ -171,6 +177,12 @@
 	return is_direct(feed) && !feed->has_answered && !feed->is_whole_needed;
 }
 
+static bool is_reading_fresh(const struct feed_task *feed)
+{
+	return feed->has_answered &&
+	       task_now_ms() - feed->source_ms < COMPACTED_PAUSE_MS;
+}
+
 /* A source that has forgotten its history is read whole, the same one. */
 static void on_ended(void *context, bool is_compacted)
 {
@@ -187,7 +199,9 @@
 		feed->is_whole_needed = true;
 	else
 		relay_sources_failed(feed->sources, task_now_ms());
-	timer_once(feed->retry_timer, 0);
+	timer_once(feed->retry_timer, is_compacted && is_reading_fresh(feed)
+					      ? COMPACTED_PAUSE_MS
+					      : 0);
 }
 
 /* A node that others cannot know yet reads for itself alone. */
--- a/daemon/src/relay/relay_task.c
+++ b/daemon/src/relay/relay_task.c
@@ -5,6 +5,7 @@
 #include "relay_log.h"
 #include "relay_peers.h"
 
+#include <core/relay_tag.h>
 #include <core/zone.h>
 #include <daemon/drain_message.h>
 #include <daemon/log_settings_message.h>
@@ -318,6 +319,23 @@
 	return true;
 }
 
+/* A reading of the whole store repeats what is known. */
+static bool is_change(struct relay_directory *directory,
+		      const struct target_change *change)
+{
+	const struct target *target = &change->target;
+	const struct relay_target *known = relay_directory_find(
+		directory, relay_tag_of(target->target_id));
+
+	if (!known || known->target.target_id != target->target_id)
+		return !change->is_gone;
+	if (change->is_gone || known->gone_ms != 0)
+		return change->is_gone != (known->gone_ms != 0);
+	return known->target.state != target->state ||
+	       known->target.incarnation != target->incarnation ||
+	       !endpoint_equal(&known->target.endpoint, &target->endpoint);
+}
+
 static void take_targets(struct relay_task *relay,
 			 const struct news_message *news, int64_t now_ms)
 {
@@ -329,7 +347,8 @@
 		const struct target_change *change =
 			&g_array_index(news->changes, struct target_change, i);
 
-		relay_log_target(relay->log, change, news->revision);
+		if (is_change(directory, change))
+			relay_log_target(relay->log, change, news->revision);
 		if (change->is_gone) {
 			relay_directory_remove(
 				directory, change->target.target_id, now_ms);
--- a/fakes/src/fake_kv.c
+++ b/fakes/src/fake_kv.c
@@ -253,11 +253,30 @@
 	return true;
 }
 
+/* Something changed from outside: only the task may touch its connections. */
 static void handle(void *context, struct message *message)
 {
+	on_expire(context);
 	message_free(message);
 }
 
+static void wake_free(struct message *message)
+{
+	g_free(message);
+}
+
+static const struct message_type wake_type = {"wake", wake_free};
+
+/* A lost message is made good by the next tick. */
+static void wake(struct fake_kv *kv)
+{
+	struct message *message = g_new0(struct message, 1);
+
+	message->type = &wake_type;
+	if (task_post(kv->task, message) != POST_TAKEN)
+		message_free(message);
+}
+
 static void stop(void *context)
 {
 	struct fake_kv *kv = context;
@@ -321,9 +340,8 @@
 {
 	pthread_mutex_lock(&kv->lock);
 	kv->fault = *fault;
-	if (fault->is_down)
-		fake_kv_watches_cut(kv->watches);
 	pthread_mutex_unlock(&kv->lock);
+	wake(kv);
 }
 
 /* Writes a key as an operator or a target would, whatever the fault. */
@@ -336,9 +354,9 @@
 
 	pthread_mutex_lock(&kv->lock);
 	json_decref(fake_kv_store_txn(kv->store, request, &status));
-	send_all_events(kv);
 	pthread_mutex_unlock(&kv->lock);
 	json_decref(request);
+	wake(kv);
 	g_free(encoded);
 }
 
@@ -350,9 +368,9 @@
 
 	pthread_mutex_lock(&kv->lock);
 	json_decref(fake_kv_store_txn(kv->store, request, &status));
-	send_all_events(kv);
 	pthread_mutex_unlock(&kv->lock);
 	json_decref(request);
+	wake(kv);
 }
 
 /* Forgets the history, so that older watches cannot be resumed. */
