--- a/daemon/src/relay/relay_counters.c
+++ b/daemon/src/relay/relay_counters.c
@@ -97,3 +97,16 @@
 				verdict->reason,
 			1);
 }
+
+/* Takes what the director knows now. */
+void relay_counters_gauges(struct relay_counters *counters,
+			   struct relay_director *director)
+{
+	counter_set_assign(counters->set, RELAY_FLOWS,
+			   relay_director_flow_count(director));
+	counter_set_assign(
+		counters->set, RELAY_TARGETS,
+		relay_directory_count(relay_director_directory(director)));
+	counter_set_assign(counters->set, RELAY_VERSION,
+			   relay_director_version(director));
+}
--- a/daemon/src/relay/relay_counters.h
+++ b/daemon/src/relay/relay_counters.h
@@ -2,6 +2,7 @@
 #define RELAY_COUNTERS_H
 
 #include <core/reason.h>
+#include <core/relay_director.h>
 #include <core/relay_verdict.h>
 #include <task/counter_set.h>
 
@@ -30,6 +31,8 @@
 struct relay_counters *relay_counters_new(void);
 void relay_counters_free(struct relay_counters *counters);
 struct counter_set *relay_counters_set(struct relay_counters *counters);
+void relay_counters_gauges(struct relay_counters *counters,
+			   struct relay_director *director);
 void relay_counters_verdict(struct relay_counters *counters,
 			    const struct relay_verdict *verdict);
 
--- a/daemon/src/relay/relay_log.c
+++ b/daemon/src/relay/relay_log.c
@@ -2,6 +2,7 @@
 
 #include <core/relay_tag.h>
 #include <inttypes.h>
+#include <platform/echo_packet.h>
 
 /* Flows shorter than the tightest aim of a service need no line. */
 #define SLOW_FLOW_MS 100
@@ -35,9 +36,9 @@
 }
 
 /* One line for each request: its id leads to its flow. */
-void relay_log_request(struct log *log, const struct relay_packet *packet,
-		       const struct relay_verdict *verdict,
-		       const char *request_id)
+static void log_request(struct log *log, const struct relay_packet *packet,
+			const struct relay_verdict *verdict,
+			const char *request_id)
 {
 	char caller[ENDPOINT_TEXT_BYTES];
 	char service[ENDPOINT_TEXT_BYTES];
@@ -51,8 +52,8 @@
 }
 
 /* One line for a flow that took long or that its caller reset. */
-void relay_log_closed(struct log *log, const struct relay_packet *packet,
-		      const struct relay_verdict *verdict)
+static void log_closed(struct log *log, const struct relay_packet *packet,
+		       const struct relay_verdict *verdict)
 {
 	char caller[ENDPOINT_TEXT_BYTES];
 	char service[ENDPOINT_TEXT_BYTES];
@@ -68,6 +69,23 @@
 		  verdict->flow_age_ms);
 }
 
+/* A line for each decision, each request, and each flow that ended oddly. */
+void relay_log_packet(struct log *log, const struct relay_packet *packet,
+		      const struct relay_verdict *verdict,
+		      const struct relay_log_state *state, const uint8_t *bytes,
+		      uint32_t length_bytes)
+{
+	char request_id[ECHO_REQUEST_ID_BYTES];
+
+	if (verdict->is_new_decision)
+		relay_log_verdict(log, packet, verdict, state);
+	else if (packet->payload_bytes > 0 &&
+		 echo_packet_request_id(request_id, bytes, length_bytes))
+		log_request(log, packet, verdict, request_id);
+	if (verdict->is_closed)
+		log_closed(log, packet, verdict);
+}
+
 /* One line for each change of a target. */
 void relay_log_target(struct log *log, const struct target_change *change,
 		      int64_t revision)
--- a/daemon/src/relay/relay_log.h
+++ b/daemon/src/relay/relay_log.h
@@ -16,11 +16,10 @@
 void relay_log_verdict(struct log *log, const struct relay_packet *packet,
 		       const struct relay_verdict *verdict,
 		       const struct relay_log_state *state);
-void relay_log_request(struct log *log, const struct relay_packet *packet,
-		       const struct relay_verdict *verdict,
-		       const char *request_id);
-void relay_log_closed(struct log *log, const struct relay_packet *packet,
-		      const struct relay_verdict *verdict);
+void relay_log_packet(struct log *log, const struct relay_packet *packet,
+		      const struct relay_verdict *verdict,
+		      const struct relay_log_state *state, const uint8_t *bytes,
+		      uint32_t length_bytes);
 void relay_log_target(struct log *log, const struct target_change *change,
 		      int64_t revision);
 void relay_log_tag_taken(struct log *log, const struct target_change *change);
--- /dev/null
+++ b/daemon/src/relay/relay_news.h
@@ -0,0 +1,12 @@
+#ifndef RELAY_NEWS_H
+#define RELAY_NEWS_H
+
+#include <core/relay_directory.h>
+#include <daemon/news_message.h>
+#include <task/log.h>
+
+void relay_news_take_targets(struct relay_directory *directory,
+			     const struct news_message *news, struct log *log,
+			     int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/daemon/src/relay/relay_sender.h
@@ -0,0 +1,33 @@
+#ifndef RELAY_SENDER_H
+#define RELAY_SENDER_H
+
+#include <core/relay_packet.h>
+#include <core/relay_verdict.h>
+#include <task/counter_set.h>
+#include <task/udp_socket.h>
+
+/*
+ * The socket of a relay task for packets: what comes in goes to receive, and
+ * packets go out to targets and resets to callers.
+ */
+struct relay_sender;
+
+struct relay_sender_options {
+	struct endpoint listen;
+	struct counter_set *counters;
+	void *context;
+	void (*receive)(void *context, const struct endpoint *from,
+			const uint8_t *bytes, uint32_t length_bytes);
+};
+
+struct relay_sender *
+relay_sender_new(struct task *task, const struct relay_sender_options *options,
+		 GError **error);
+void relay_sender_free(struct relay_sender *sender);
+void relay_sender_forward(struct relay_sender *sender,
+			  const struct relay_verdict *verdict,
+			  const uint8_t *bytes, uint32_t length_bytes);
+void relay_sender_reset(struct relay_sender *sender,
+			const struct relay_packet *packet);
+
+#endif
--- a/daemon/src/relay/relay_task.c
+++ b/daemon/src/relay/relay_task.c
@@ -2,10 +2,12 @@
 
 #include "held_packets.h"
 #include "relay_counters.h"
+#include "relay_drain.h"
 #include "relay_log.h"
+#include "relay_news.h"
 #include "relay_peers.h"
+#include "relay_sender.h"
 
-#include <core/relay_tag.h>
 #include <core/zone.h>
 #include <daemon/drain_message.h>
 #include <daemon/log_settings_message.h>
@@ -14,30 +16,20 @@
 #include <daemon/ready_message.h>
 #include <daemon/stranger_message.h>
 #include <platform/echo_packet.h>
-#include <string.h>
 #include <task/timer.h>
-#include <task/udp_socket.h>
 #include <unistd.h>
 
 #define MAILBOX_CAPACITY 1024
-#define RECEIVE_BUFFER_BYTES (4 * 1024 * 1024)
 
 /* Reports and forgetting need no finer clock; second tries have their own. */
 #define TICK_MS 25
 
-/*
- * The routers ask twice a second and leave a node after two refusals. The node
- * goes on until no packet has come for a while after that.
- */
-#define DRAIN_LEAST_MS 1500
-#define DRAIN_QUIET_MS 600
-
 struct relay_task {
 	struct task *task;
 	const struct settings *settings;
 	struct task *admin;
 	struct task *feed;
-	struct udp_socket *socket;
+	struct relay_sender *sender;
 	struct timer *tick_timer;
 	struct timer *retry_timer;
 	struct relay_director *director;
@@ -46,13 +38,11 @@
 	struct histogram *answer_times;
 	struct held_packets *held;
 	struct log *log;
-	struct task *drain_reply_to;
-	int64_t drain_ms;
+	struct relay_drain drain;
 	int64_t packet_ms;
 	int64_t news_ms;
 	int64_t retry_ms;
 	bool is_ready;
-	uint8_t out[ECHO_TARGET_ID_BYTES + ECHO_PACKET_BYTES_MAX];
 };
 
 static struct counter_set *counters_of(struct relay_task *relay)
@@ -60,37 +50,6 @@
 	return relay_counters_set(relay->counters);
 }
 
-static void send_out(struct relay_task *relay, const struct endpoint *to,
-		     const uint8_t *bytes, uint32_t length_bytes)
-{
-	if (!udp_socket_send(relay->socket, to, bytes, length_bytes))
-		counter_set_add(counters_of(relay), RELAY_NOT_SENT, 1);
-}
-
-static void forward(struct relay_task *relay,
-		    const struct relay_verdict *verdict, const uint8_t *bytes,
-		    uint32_t length_bytes)
-{
-	uint8_t *packet = relay->out + ECHO_TARGET_ID_BYTES;
-
-	echo_packet_write_target_id(relay->out, verdict->target_id);
-	memcpy(packet, bytes, length_bytes);
-	echo_packet_set_tag(packet, verdict->tag);
-	send_out(relay, &verdict->endpoint, relay->out,
-		 ECHO_TARGET_ID_BYTES + length_bytes);
-}
-
-/* Callers are reached on the port that the node itself listens on. */
-static void reset(struct relay_task *relay, const struct relay_packet *packet)
-{
-	uint8_t bytes[ECHO_PACKET_HEADER_BYTES];
-	struct endpoint to = {.addr = packet->caller.addr,
-			      .port = relay->settings->listen_packets.port};
-
-	echo_packet_write_reset(bytes, packet);
-	send_out(relay, &to, bytes, sizeof(bytes));
-}
-
 static struct relay_log_state log_state(const struct relay_task *relay,
 					int64_t now_ms)
 {
@@ -100,23 +59,15 @@
 	};
 }
 
-/* A line for each decision, each request, and each flow that ended oddly. */
 static void log_packet(struct relay_task *relay,
 		       const struct relay_packet *packet,
 		       const struct relay_verdict *verdict,
-		       const uint8_t *bytes, uint32_t length_bytes,
-		       int64_t now_ms)
+		       const uint8_t *bytes, uint32_t length_bytes)
 {
-	struct relay_log_state state = log_state(relay, now_ms);
-	char request_id[ECHO_REQUEST_ID_BYTES];
-
-	if (verdict->is_new_decision)
-		relay_log_verdict(relay->log, packet, verdict, &state);
-	else if (packet->payload_bytes > 0 &&
-		 echo_packet_request_id(request_id, bytes, length_bytes))
-		relay_log_request(relay->log, packet, verdict, request_id);
-	if (verdict->is_closed)
-		relay_log_closed(relay->log, packet, verdict);
+	struct relay_log_state state = log_state(relay, relay->packet_ms);
+
+	relay_log_packet(relay->log, packet, verdict, &state, bytes,
+			 length_bytes);
 }
 
 static void arm_retry(struct relay_task *relay, int64_t due_ms, int64_t now_ms)
@@ -134,14 +85,15 @@
 {
 	switch (verdict->action) {
 	case RELAY_FORWARD:
-		forward(relay, verdict, bytes, length_bytes);
+		relay_sender_forward(relay->sender, verdict, bytes,
+				     length_bytes);
 		break;
 	case RELAY_RESET:
-		reset(relay, packet);
+		relay_sender_reset(relay->sender, packet);
 		break;
 	case RELAY_HOLD:
 		if (!held_packets_add(relay->held, bytes, length_bytes))
-			reset(relay, packet);
+			relay_sender_reset(relay->sender, packet);
 		break;
 	case RELAY_DROP:
 		break;
@@ -167,7 +119,7 @@
 	relay_counters_verdict(relay->counters, &verdict);
 	if (verdict.is_answered)
 		histogram_add(relay->answer_times, verdict.answer_ms);
-	log_packet(relay, &packet, &verdict, bytes, length_bytes, now_ms);
+	log_packet(relay, &packet, &verdict, bytes, length_bytes);
 	carry_out(relay, &packet, &verdict, bytes, length_bytes);
 	if (packet.is_opening)
 		arm_retry(relay, relay_director_tick(relay->director, now_ms),
@@ -203,7 +155,7 @@
 	relay_counters_verdict(relay->counters, verdict);
 	if (echo_packet_parse(&packet, bytes, length_bytes))
 		relay_log_verdict(relay->log, &packet, verdict, &state);
-	forward(relay, verdict, bytes, length_bytes);
+	relay_sender_forward(relay->sender, verdict, bytes, length_bytes);
 }
 
 static void on_flow_moved(void *context, struct flow_print print)
@@ -249,20 +201,6 @@
 		  is_ready ? "yes" : "no");
 }
 
-static void answer_drain(struct relay_task *relay, int64_t now_ms)
-{
-	struct message *drained;
-
-	if (!relay->drain_reply_to ||
-	    now_ms - relay->drain_ms < DRAIN_LEAST_MS ||
-	    now_ms - relay->packet_ms < DRAIN_QUIET_MS)
-		return;
-	drained = drained_message_new(relay->task);
-	if (task_post(relay->drain_reply_to, drained) != POST_TAKEN)
-		message_free(drained);
-	relay->drain_reply_to = NULL;
-}
-
 static void on_tick(void *context)
 {
 	struct relay_task *relay = context;
@@ -272,7 +210,7 @@
 	relay_peers_tick(relay->peers, now_ms);
 	report_ready(relay);
 	release_held(relay);
-	answer_drain(relay, now_ms);
+	relay_drain_tick(&relay->drain, relay->task, relay->packet_ms, now_ms);
 }
 
 /* A node that knows something already hears of others from the store. */
@@ -291,9 +229,9 @@
 static bool start(void *context, struct task *task, GError **error)
 {
 	struct relay_task *relay = context;
-	struct udp_socket_options options = {
+	struct relay_sender_options options = {
 		.listen = relay->settings->listen_packets,
-		.buffer_bytes = RECEIVE_BUFFER_BYTES,
+		.counters = counters_of(relay),
 		.context = relay,
 		.receive = on_packet,
 	};
@@ -305,12 +243,12 @@
 		.on_stranger = on_stranger,
 	};
 
-	relay->socket = udp_socket_new(task, &options, error);
-	if (!relay->socket)
+	relay->sender = relay_sender_new(task, &options, error);
+	if (!relay->sender)
 		return false;
 	relay->peers = relay_peers_new(task, &peers, error);
 	if (!relay->peers) {
-		udp_socket_free(relay->socket);
+		relay_sender_free(relay->sender);
 		return false;
 	}
 	relay->tick_timer = timer_new(task, relay, on_tick);
@@ -319,51 +257,6 @@
 	return true;
 }
 
-/* A reading of the whole store repeats what is known. */
-static bool is_change(struct relay_directory *directory,
-		      const struct target_change *change)
-{
-	const struct target *target = &change->target;
-	const struct relay_target *known = relay_directory_find(
-		directory, relay_tag_of(target->target_id));
-
-	if (!known || known->target.target_id != target->target_id)
-		return !change->is_gone;
-	if (change->is_gone || known->gone_ms != 0)
-		return change->is_gone != (known->gone_ms != 0);
-	return known->target.state != target->state ||
-	       known->target.incarnation != target->incarnation ||
-	       !endpoint_equal(&known->target.endpoint, &target->endpoint);
-}
-
-static void take_targets(struct relay_task *relay,
-			 const struct news_message *news, int64_t now_ms)
-{
-	struct relay_directory *directory =
-		relay_director_directory(relay->director);
-	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-
-	for (guint i = 0; i < news->changes->len; i++) {
-		const struct target_change *change =
-			&g_array_index(news->changes, struct target_change, i);
-
-		if (is_change(directory, change))
-			relay_log_target(relay->log, change, news->revision);
-		if (change->is_gone) {
-			relay_directory_remove(
-				directory, change->target.target_id, now_ms);
-			continue;
-		}
-		g_array_append_val(ids, change->target.target_id);
-		if (!relay_directory_put(directory, &change->target,
-					 change->warmup_ms, now_ms))
-			relay_log_tag_taken(relay->log, change);
-	}
-	if (news->is_whole)
-		relay_directory_remove_others(directory, ids, now_ms);
-	g_array_free(ids, TRUE);
-}
-
 static void take_news(struct relay_task *relay, struct message *message)
 {
 	struct news_message *news = (struct news_message *)message;
@@ -371,7 +264,8 @@
 	int64_t now_ms = task_now_ms();
 
 	relay->news_ms = now_ms;
-	take_targets(relay, news, now_ms);
+	relay_news_take_targets(relay_director_directory(relay->director), news,
+				relay->log, now_ms);
 	if (news->peers)
 		relay_peers_set(relay->peers, news->peers);
 	if (routes && relay_director_set_routes(relay->director, routes))
@@ -382,22 +276,14 @@
 
 static void take_metrics(struct relay_task *relay, struct message *message)
 {
-	struct counter_set *counters = counters_of(relay);
-
-	counter_set_assign(counters, RELAY_FLOWS,
-			   relay_director_flow_count(relay->director));
-	counter_set_assign(counters, RELAY_TARGETS,
-			   relay_directory_count(
-				   relay_director_directory(relay->director)));
-	counter_set_assign(counters, RELAY_VERSION,
-			   relay_director_version(relay->director));
-	metrics_request_answer_timed(message, counters, relay->answer_times);
+	relay_counters_gauges(relay->counters, relay->director);
+	metrics_request_answer_timed(message, counters_of(relay),
+				     relay->answer_times);
 }
 
 static void take_drain(struct relay_task *relay, struct message *message)
 {
-	relay->drain_reply_to = ((struct drain_message *)message)->reply_to;
-	relay->drain_ms = task_now_ms();
+	relay_drain_begin(&relay->drain, message, task_now_ms());
 }
 
 static void take_log_settings(struct relay_task *relay, struct message *message)
@@ -433,7 +319,7 @@
 	timer_free(relay->tick_timer);
 	timer_free(relay->retry_timer);
 	relay_peers_free(relay->peers);
-	udp_socket_free(relay->socket);
+	relay_sender_free(relay->sender);
 }
 
 static struct relay_director *make_director(struct relay_task *relay)
--- a/fakes/src/fake_kv.c
+++ b/fakes/src/fake_kv.c
@@ -2,6 +2,7 @@
 
 #include "fake_kv_call.h"
 #include "fake_kv_watches.h"
+#include "fake_late_answers.h"
 #include "http_cut.h"
 
 #include <event2/buffer.h>
@@ -20,8 +21,6 @@
 #define STATUS_OK 200
 #define STATUS_UNAUTHORIZED 401
 #define STATUS_NOT_FOUND 404
-#define US_PER_MS 1000
-#define MS_PER_S 1000
 
 /* The lock guards all below it: tests set faults from their own thread. */
 struct fake_kv {
@@ -34,21 +33,12 @@
 	struct fake_kv_store *store;
 	struct fake_kv_fault fault;
 	struct fake_kv_watches *watches;
-	GPtrArray *late_answers;
+	struct fake_late_answers *late_answers;
 	uint64_t read_count;
 	uint64_t write_count;
 	uint64_t watch_count;
 };
 
-/* An answer that waits for its delay. */
-struct late_answer {
-	struct fake_kv *kv;
-	struct event *event;
-	struct evhttp_request *request;
-	int status;
-	char *text;
-};
-
 static void answer(struct evhttp_request *request, int status, const char *text)
 {
 	evbuffer_add(evhttp_request_get_output_buffer(request), text,
@@ -56,45 +46,6 @@
 	evhttp_send_reply(request, status, NULL, NULL);
 }
 
-static void free_late(gpointer data)
-{
-	struct late_answer *late = data;
-
-	event_free(late->event);
-	free(late->text);
-	g_free(late);
-}
-
-/* libevent reads nothing while an answer is due, so the request is alive. */
-static void on_late(evutil_socket_t fd, short what, void *context)
-{
-	struct late_answer *late = context;
-	struct fake_kv *kv = late->kv;
-
-	answer(late->request, late->status, late->text);
-	pthread_mutex_lock(&kv->lock);
-	g_ptr_array_remove(kv->late_answers, late);
-	pthread_mutex_unlock(&kv->lock);
-}
-
-static void answer_late(struct fake_kv *kv, struct evhttp_request *request,
-			int status, char *text)
-{
-	struct late_answer *late = g_new0(struct late_answer, 1);
-	struct timeval delay = {
-		.tv_sec = kv->fault.delay_ms / MS_PER_S,
-		.tv_usec = (kv->fault.delay_ms % MS_PER_S) * US_PER_MS,
-	};
-
-	late->kv = kv;
-	late->request = request;
-	late->status = status;
-	late->text = text;
-	late->event = event_new(task_base(kv->task), -1, 0, on_late, late);
-	event_add(late->event, &delay);
-	g_ptr_array_add(kv->late_answers, late);
-}
-
 static void send_all_events(struct fake_kv *kv)
 {
 	if (!kv->fault.is_watch_stalled && !kv->fault.is_down)
@@ -143,7 +94,9 @@
 		http_cut(request);
 		free(text);
 	} else if (kv->fault.delay_ms > 0) {
-		answer_late(kv, request, status, text);
+		fake_late_answers_add(kv->late_answers, task_base(kv->task),
+				      kv->fault.delay_ms, request, status,
+				      text);
 	} else {
 		answer(request, status, text);
 		free(text);
@@ -282,7 +235,7 @@
 	struct fake_kv *kv = context;
 
 	timer_free(kv->expire_timer);
-	g_ptr_array_set_size(kv->late_answers, 0);
+	fake_late_answers_clear(kv->late_answers);
 	evhttp_free(kv->http);
 	kv->http = NULL;
 }
@@ -307,7 +260,7 @@
 	kv->options = *options;
 	kv->store = fake_kv_store_new();
 	kv->watches = fake_kv_watches_new(&kv->lock, kv->store);
-	kv->late_answers = g_ptr_array_new_with_free_func(free_late);
+	kv->late_answers = fake_late_answers_new(answer);
 	pthread_mutex_init(&kv->lock, NULL);
 	kv->task = task_new(&task_options, error);
 	if (kv->task && task_start(kv->task, error))
@@ -323,7 +276,7 @@
 		return;
 	task_free(kv->task);
 	fake_kv_watches_free(kv->watches);
-	g_ptr_array_free(kv->late_answers, TRUE);
+	fake_late_answers_free(kv->late_answers);
 	fake_kv_store_free(kv->store);
 	pthread_mutex_destroy(&kv->lock);
 	g_free(kv);
