--- a/daemon/src/relay/relay_task.c
+++ b/daemon/src/relay/relay_task.c
@@ -59,17 +59,6 @@
 	};
 }
 
-static void log_packet(struct relay_task *relay,
-		       const struct relay_packet *packet,
-		       const struct relay_verdict *verdict,
-		       const uint8_t *bytes, uint32_t length_bytes)
-{
-	struct relay_log_state state = log_state(relay, relay->packet_ms);
-
-	relay_log_packet(relay->log, packet, verdict, &state, bytes,
-			 length_bytes);
-}
-
 static void arm_retry(struct relay_task *relay, int64_t due_ms, int64_t now_ms)
 {
 	if (due_ms >= relay->retry_ms)
@@ -105,6 +94,7 @@
 {
 	struct relay_task *relay = context;
 	int64_t now_ms = task_now_ms();
+	struct relay_log_state state = log_state(relay, now_ms);
 	struct relay_packet packet;
 	struct relay_verdict verdict;
 
@@ -119,7 +109,8 @@
 	relay_counters_verdict(relay->counters, &verdict);
 	if (verdict.is_answered)
 		histogram_add(relay->answer_times, verdict.answer_ms);
-	log_packet(relay, &packet, &verdict, bytes, length_bytes);
+	relay_log_packet(relay->log, &packet, &verdict, &state, bytes,
+			 length_bytes);
 	carry_out(relay, &packet, &verdict, bytes, length_bytes);
 	if (packet.is_opening)
 		arm_retry(relay, relay_director_tick(relay->director, now_ms),
@@ -219,7 +210,7 @@
 	struct relay_task *relay = context;
 	struct message *message;
 
-	if (relay->is_ready || !relay->feed)
+	if (relay->is_ready)
 		return;
 	message = stranger_message_new(from);
 	if (task_post(relay->feed, message) != POST_TAKEN)
@@ -324,11 +315,10 @@
 
 static struct relay_director *make_director(struct relay_task *relay)
 {
-	const struct settings *settings = relay->settings;
 	struct relay_director_options options = {
-		.zone_id = zone_id_from_name(settings->zone),
-		.flow_capacity = settings->flow_capacity,
-		.seed = settings->flow_seed,
+		.zone_id = zone_id_from_name(relay->settings->zone),
+		.flow_capacity = relay->settings->flow_capacity,
+		.seed = relay->settings->flow_seed,
 		.start_ms = task_now_ms(),
 		.effects = {.context = relay,
 			    .forward_again = on_forward_again,
--- a/fakes/src/fake_late_answers.c
+++ b/fakes/src/fake_late_answers.c
@@ -1,5 +1,6 @@
 #include "fake_late_answers.h"
 
+#include <event2/event.h>
 #include <glib.h>
 #include <stdlib.h>
 
