--- a/core/include/core/relay_director.h
+++ b/core/include/core/relay_director.h
@@ -28,10 +28,15 @@
 			       uint32_t zone_id);
 };
 
+/*
+ * flow_seed is the same on all nodes, which tell each other of flows by their
+ * prints; random_seed is another on each, so that they choose differently.
+ */
 struct relay_director_options {
 	uint32_t zone_id;
 	uint32_t flow_capacity;
-	uint64_t seed;
+	uint64_t flow_seed;
+	uint32_t random_seed;
 	int64_t start_ms;
 	struct relay_effects effects;
 };
--- a/core/src/relay/relay_director.c
+++ b/core/src/relay/relay_director.c
@@ -31,7 +31,7 @@
 	director->loads = relay_loads_new(director->directory);
 	director->flows = relay_flow_table_new(options->flow_capacity);
 	director->zones = relay_zone_health_new();
-	director->random = g_rand_new_with_seed((guint32)options->seed);
+	director->random = g_rand_new_with_seed(options->random_seed);
 	return director;
 }
 
@@ -111,7 +111,8 @@
 		.service = packet->service,
 		.protocol = FLOW_PROTOCOL_UDP,
 	};
-	struct flow_print print = flow_key_print(&key, director->options.seed);
+	struct flow_print print =
+		flow_key_print(&key, director->options.flow_seed);
 	struct relay_flow *flow = relay_flow_table_find(director->flows, print);
 
 	if (!flow && packet->tag != RELAY_TAG_NONE && !packet->is_reset)
--- a/core/src/relay/relay_opening.c
+++ b/core/src/relay/relay_opening.c
@@ -214,7 +214,8 @@
 		.service = packet->service,
 		.protocol = FLOW_PROTOCOL_UDP,
 	};
-	struct flow_print print = flow_key_print(&key, director->options.seed);
+	struct flow_print print =
+		flow_key_print(&key, director->options.flow_seed);
 	const struct relay_route *route =
 		relay_route_table_find(director->routes, &packet->service);
 	struct relay_flow *flow = relay_flow_table_find(director->flows, print);
--- a/daemon/include/daemon/stranger_message.h
+++ b/daemon/include/daemon/stranger_message.h
@@ -2,7 +2,7 @@
 #define DAEMON_STRANGER_MESSAGE_H
 
 #include <core/endpoint.h>
-#include <task/message.h>
+#include <task/task.h>
 
 /*
  * Tells the feed of a node that knows nothing yet that another node has sent
@@ -15,6 +15,6 @@
 
 extern const struct message_type stranger_message_type;
 
-struct message *stranger_message_new(const struct endpoint *endpoint);
+void stranger_message_post(struct task *task, const struct endpoint *endpoint);
 
 #endif
--- a/daemon/src/relay/relay_task.c
+++ b/daemon/src/relay/relay_task.c
@@ -208,13 +208,9 @@
 static void on_stranger(void *context, const struct endpoint *from)
 {
 	struct relay_task *relay = context;
-	struct message *message;
 
-	if (relay->is_ready)
-		return;
-	message = stranger_message_new(from);
-	if (task_post(relay->feed, message) != POST_TAKEN)
-		message_free(message);
+	if (!relay->is_ready)
+		stranger_message_post(relay->feed, from);
 }
 
 static bool start(void *context, struct task *task, GError **error)
@@ -318,7 +314,8 @@
 	struct relay_director_options options = {
 		.zone_id = zone_id_from_name(relay->settings->zone),
 		.flow_capacity = relay->settings->flow_capacity,
-		.seed = relay->settings->flow_seed,
+		.flow_seed = relay->settings->flow_seed,
+		.random_seed = g_random_int(),
 		.start_ms = task_now_ms(),
 		.effects = {.context = relay,
 			    .forward_again = on_forward_again,
--- a/daemon/src/relay/stranger_message.c
+++ b/daemon/src/relay/stranger_message.c
@@ -10,12 +10,13 @@
 const struct message_type stranger_message_type = {"stranger",
 						   stranger_message_free};
 
-/* Makes the message; the mailbox that takes it owns it. */
-struct message *stranger_message_new(const struct endpoint *endpoint)
+/* Posts the message; one that finds no room is lost, and another follows. */
+void stranger_message_post(struct task *task, const struct endpoint *endpoint)
 {
 	struct stranger_message *stranger = g_new0(struct stranger_message, 1);
 
 	stranger->message.type = &stranger_message_type;
 	stranger->endpoint = *endpoint;
-	return &stranger->message;
+	if (task_post(task, &stranger->message) != POST_TAKEN)
+		message_free(&stranger->message);
 }
--- a/daemon/test/settings_test.c
+++ b/daemon/test/settings_test.c
@@ -14,6 +14,12 @@
 	"  requests: 127.0.0.1:3\n"                                            \
 	"  admin: 127.0.0.1:4\n"
 #define GOOD NODE LISTEN
+#define TAG                                                                    \
+	NODE "delivery: {mode: tag}\n"                                         \
+	     "listen:\n"                                                       \
+	     "  packets: 127.0.0.1:1\n"                                        \
+	     "  admin: 127.0.0.1:4\n"                                          \
+	     "  peers: 127.0.0.1:6\n"
 
 /* A file, and the message behind its path; NULL where it is accepted. */
 static const struct {
@@ -49,6 +55,25 @@
 	 ":9: services.s: expected a service name once, and its address:port"},
 	{"bad-service-endpoint", GOOD "services: {s: nowhere}\n",
 	 ":7: services.s: expected a service name once, and its address:port"},
+	{"tag-mode", TAG "platform: {store: '127.0.0.1:5'}\n", NULL},
+	{"tag-mode-of-the-platform",
+	 TAG "platform: {store: '127.0.0.1:5'}\n"
+	     "peers: {seeds: '', link_mbps: '1000.0'}\n",
+	 NULL},
+	{"tag-mode-without-a-store", TAG,
+	 ": platform.store: expected, but missing"},
+	{"tag-mode-without-peers",
+	 NODE "delivery: {mode: tag}\n"
+	      "listen: {packets: '127.0.0.1:1', admin: '127.0.0.1:4'}\n",
+	 ": listen.peers: expected, but missing"},
+	{"unknown-mode", NODE "delivery: {mode: both}\n",
+	 ":2: delivery.mode: expected home or tag"},
+	{"rate-that-is-none", TAG "peers: {link_mbps: fast}\n",
+	 ":7: peers.link_mbps: expected a number from 0 to 1000000"},
+	{"rate-below-0", TAG "peers: {link_mbps: -1}\n",
+	 ":7: peers.link_mbps: expected a number from 0 to 1000000"},
+	{"bad-seed", TAG "peers: {seeds: 'here'}\n",
+	 ":7: peers.seeds: expected address:port, between commas"},
 	{"missing-key", LISTEN "node: {name: n, zone: z}\n",
 	 ": node.region: expected, but missing"},
 	{"missing-section", NODE, ": listen.packets: expected, but missing"},
