--- a/daemon/src/relay/feed_reader.c
+++ b/daemon/src/relay/feed_reader.c
@@ -8,16 +8,15 @@
 /*
  * How a kind of source is read. The store is asked seldom, as each call costs;
  * a node answers every second, so that one that stops is left within two. A
- * read takes milliseconds; a store whose link is full, as when a large fleet
- * starts at once, is still read: giving up would begin the reading anew.
+ * read takes milliseconds; a store that is slower is still read.
  */
 static const struct {
 	uint32_t read_timeout_ms;
 	uint32_t wait_ms;
 	uint32_t watch_timeout_ms;
 } timings[] = {
-	[RELAY_SOURCE_STORE] = {5000, 10000, 12000},
-	[RELAY_SOURCE_PEER] = {2000, 1000, 1500},
+	[RELAY_SOURCE_STORE] = {2000, 10000, 12000},
+	[RELAY_SOURCE_PEER] = {500, 1000, 1500},
 };
 
 /*
--- a/daemon/src/relay/feed_task.c
+++ b/daemon/src/relay/feed_task.c
@@ -12,12 +12,6 @@
 /* How often a better source is looked for, and the node's entry is checked. */
 #define TICK_MS 500
 
-/*
- * Reading all takes up to half a second on slow links. The store takes longer
- * only when its own link is full, as when hundreds of nodes start at once.
- */
-#define READ_SLOW_MS 1500
-
 /* A store call that writes this node's entry. */
 #define WRITE_TIMEOUT_MS 2000
 
@@ -105,22 +99,16 @@
 	return true;
 }
 
-/*
- * A stranger is asked at once when there is nobody to ask, and in place of a
- * source that has been reading for too long.
- */
+/* While a source answers or is being asked, the stranger waits its turn. */
 static void take_stranger(struct feed_task *feed, struct message *message)
 {
 	const struct stranger_message *stranger =
 		(const struct stranger_message *)message;
-	bool is_slow = task_now_ms() - feed->source_ms >= READ_SLOW_MS;
 
 	if (kv_mirror_revision(feed->mirror) != 0)
 		return;
 	relay_sources_add_seed(feed->sources, &stranger->endpoint);
-	if (feed->source.kind == RELAY_SOURCE_STORE && is_slow)
-		relay_sources_failed(feed->sources, task_now_ms());
-	if (feed->source.kind == RELAY_SOURCE_NONE || is_slow)
+	if (feed->source.kind == RELAY_SOURCE_NONE)
 		timer_once(feed->retry_timer, 0);
 }
 
