--- /dev/null
+++ b/core/test/relay_steps.h
@@ -0,0 +1,221 @@
+#ifndef RELAY_STEPS_H
+#define RELAY_STEPS_H
+
+#include <core/relay_director.h>
+#include <core/relay_tag.h>
+#include <core/service.h>
+#include <fakes/test_main.h>
+#include <string.h>
+
+#define OWN_ZONE 1
+#define OTHER_ZONE 2
+#define SERVICE_ID 7
+#define OTHER_SERVICE_ID 8
+#define STEP_COUNT_MAX 16
+#define IDLE_TIMEOUT_MS 15000
+#define FLOW_CAPACITY 64
+
+/* Targets of the rows: A and B in the own zone, C and D in another. */
+enum { TARGET_A = 0xa1, TARGET_B = 0xb2, TARGET_C = 0xc3, TARGET_D = 0xd4 };
+
+/* What a step does; a and b are its arguments. */
+enum verb {
+	END,
+	/* A target a of the own zone, or b's zone, serves. */
+	SERVES,
+	LEAVES,
+	IS_GONE,
+	/* It serves another service from now on. */
+	CHANGES_SERVICE,
+	/* Routes of version a; b says whether the address has one. */
+	ROUTES,
+	/* Caller a opens a flow; b is its sequence number. */
+	OPENS,
+	/* Caller a sends a packet with the tag of target b, 0 for none. */
+	SENDS,
+	CLOSES,
+	/* Another node says that it has caller a's flow. */
+	MOVED,
+	/* Another node has a open flows at target b. */
+	REPORT,
+	TICKS,
+};
+
+/* Expected of a packet: where it goes, or why not. ANY is not checked. */
+struct expected {
+	int action;
+	enum reason reason;
+	uint64_t target_id;
+};
+
+#define TO(target, reason)                                                     \
+	{                                                                      \
+		RELAY_FORWARD, reason, target                                  \
+	}
+#define TO_ANY(reason)                                                         \
+	{                                                                      \
+		RELAY_FORWARD, reason, 0                                       \
+	}
+#define RESET(reason)                                                          \
+	{                                                                      \
+		RELAY_RESET, reason, 0                                         \
+	}
+#define DROP(reason)                                                           \
+	{                                                                      \
+		RELAY_DROP, reason, 0                                          \
+	}
+#define NOTHING                                                                \
+	{                                                                      \
+		-1, REASON_NONE, 0                                             \
+	}
+
+struct step {
+	int64_t at_ms;
+	enum verb verb;
+	uint32_t a;
+	uint32_t b;
+	struct expected expected;
+};
+
+/* What the director did last, by a packet's verdict or a second try. */
+struct seen {
+	struct relay_verdict verdict;
+	uint32_t again_count;
+};
+
+static inline void on_forward_again(void *context,
+				    const struct relay_verdict *verdict,
+				    const uint8_t *bytes, uint32_t length_bytes)
+{
+	struct seen *seen = context;
+
+	seen->verdict = *verdict;
+	seen->again_count++;
+}
+
+static inline void on_flow_moved(void *context, struct flow_print print)
+{
+}
+
+static inline void on_health_changed(void *context, uint64_t target_id,
+				     uint32_t zone_id)
+{
+}
+
+static inline struct relay_packet packet_of(const struct step *step)
+{
+	struct relay_packet packet = {
+		.tag = step->b && step->verb != OPENS ? relay_tag_of(step->b)
+						      : RELAY_TAG_NONE,
+		.sequence = step->verb == OPENS ? step->b : 0,
+		.is_opening = step->verb == OPENS,
+		.is_closing = step->verb == CLOSES,
+	};
+
+	endpoint_parse(&packet.caller, "100.64.0.1:1");
+	packet.caller.port = (uint16_t)(1000 + step->a);
+	endpoint_parse(&packet.service, "198.18.0.1:443");
+	return packet;
+}
+
+static inline void describe(struct relay_director *director,
+			    const struct step *step)
+{
+	struct target target = {
+		.target_id = step->a,
+		.service_id = step->verb == CHANGES_SERVICE ? OTHER_SERVICE_ID
+							    : SERVICE_ID,
+		.zone_id = step->b,
+		.slot_count = 2,
+		.state = step->verb == LEAVES ? TARGET_LEAVING : TARGET_SERVING,
+	};
+
+	ck_assert(relay_directory_put(relay_director_directory(director),
+				      &target, 0, step->at_ms));
+}
+
+static inline void set_routes(struct relay_director *director,
+			      const struct step *step)
+{
+	struct relay_route_table *table =
+		relay_route_table_new(step->a, IDLE_TIMEOUT_MS);
+	struct relay_route route = {.share_count = 1,
+				    .shares = {{SERVICE_ID, 1}}};
+
+	endpoint_parse(&route.address, "198.18.0.1:443");
+	if (step->b)
+		ck_assert(relay_route_table_add(table, &route));
+	relay_director_set_routes(director, table);
+}
+
+static inline void moved(struct relay_director *director,
+			 const struct step *step)
+{
+	struct relay_packet packet = packet_of(step);
+	struct flow_key key = {.caller = packet.caller,
+			       .service = packet.service,
+			       .protocol = FLOW_PROTOCOL_UDP};
+
+	relay_director_flow_moved(director, flow_key_print(&key, 0));
+}
+
+static inline void report(struct relay_director *director,
+			  const struct step *step)
+{
+	struct relay_load load = {relay_tag_of(step->b), step->a};
+
+	relay_loads_take(relay_director_loads(director), 99, &load, 1,
+			 step->at_ms);
+}
+
+static inline void run(struct relay_director *director, const struct step *step,
+		       struct seen *seen)
+{
+	static const uint8_t bytes[8] = {1};
+	struct relay_packet packet = packet_of(step);
+
+	switch (step->verb) {
+	case SERVES:
+	case LEAVES:
+	case CHANGES_SERVICE:
+		describe(director, step);
+		break;
+	case IS_GONE:
+		relay_directory_remove(relay_director_directory(director),
+				       step->a, step->at_ms);
+		break;
+	case ROUTES:
+		set_routes(director, step);
+		break;
+	case MOVED:
+		moved(director, step);
+		break;
+	case REPORT:
+		report(director, step);
+		break;
+	case TICKS:
+		relay_director_tick(director, step->at_ms);
+		break;
+	default:
+		seen->verdict = relay_director_packet(
+			director, &packet, bytes, sizeof(bytes), step->at_ms);
+	}
+}
+
+static inline void check(const struct step *step, const struct seen *seen,
+			 uint32_t again_count)
+{
+	if (step->verb == TICKS)
+		ck_assert_int_eq(step->expected.action >= 0,
+				 seen->again_count > again_count);
+	if (step->expected.action < 0)
+		return;
+	ck_assert_int_eq(seen->verdict.action, step->expected.action);
+	ck_assert_str_eq(reason_name(seen->verdict.reason),
+			 reason_name(step->expected.reason));
+	if (step->expected.target_id)
+		ck_assert_uint_eq(seen->verdict.target_id,
+				  step->expected.target_id);
+}
+
+#endif
--- a/daemon/src/admin_task.c
+++ b/daemon/src/admin_task.c
@@ -171,8 +171,7 @@
 	struct message *drained = drained_message_new(admin->task);
 
 	admin->is_draining = true;
-	if (task_post(drain->reply_to, drained) != POST_TAKEN)
-		message_free(drained);
+	task_post_or_free(drain->reply_to, drained);
 }
 
 static void handle(void *context, struct message *message)
--- a/daemon/src/config_store.c
+++ b/daemon/src/config_store.c
@@ -78,7 +78,7 @@
 }
 
 /* The next read, which watchers make often, opens the watch anew. */
-static void on_ended(void *context, bool is_compacted)
+static void on_ended(void *context, const GError *error)
 {
 	struct config_store *store = context;
 
--- a/daemon/src/control_task.c
+++ b/daemon/src/control_task.c
@@ -254,8 +254,7 @@
 	struct message *drained = drained_message_new(control->task);
 
 	membership_leave(control->membership, task_now_ms());
-	if (task_post(reply_to, drained) != POST_TAKEN)
-		message_free(drained);
+	task_post_or_free(reply_to, drained);
 }
 
 static void handle(void *context, struct message *message)
--- a/daemon/src/drain_task.c
+++ b/daemon/src/drain_task.c
@@ -33,8 +33,7 @@
 	struct message *message = drain_message_new(drain->task);
 
 	drain->awaited_count++;
-	if (task_post(task, message) != POST_TAKEN)
-		message_free(message);
+	task_post_or_free(task, message);
 }
 
 static bool start(void *context, struct task *task, GError **error)
--- a/daemon/src/metrics_message.c
+++ b/daemon/src/metrics_message.c
@@ -46,8 +46,7 @@
 	counter_set_render(counters, reply->text);
 	if (histogram)
 		histogram_render(histogram, reply->text);
-	if (task_post(asked->reply_to, &reply->message) != POST_TAKEN)
-		message_free(&reply->message);
+	task_post_or_free(asked->reply_to, &reply->message);
 }
 
 /* Sends the counters alone. */
--- a/daemon/src/packet_task.c
+++ b/daemon/src/packet_task.c
@@ -196,8 +196,7 @@
 {
 	struct message *drained = drained_message_new(packets->task);
 
-	if (task_post(packets->drain_reply_to, drained) != POST_TAKEN)
-		message_free(drained);
+	task_post_or_free(packets->drain_reply_to, drained);
 	packets->drain_reply_to = NULL;
 }
 
--- a/daemon/src/relay/feed_follow.c
+++ b/daemon/src/relay/feed_follow.c
@@ -3,6 +3,7 @@
 #include "feed_news.h"
 
 #include <inttypes.h>
+#include <platform/platform_error.h>
 
 /* After an event base had no room for a reader. */
 #define REOPEN_PAUSE_MS 500
@@ -150,17 +151,19 @@
 }
 
 /* A source that has forgotten its history is read whole, the same one. */
-static void on_ended(void *context, bool is_compacted)
+static void on_ended(void *context, const GError *error)
 {
 	struct feed_task *feed = context;
+	bool is_compacted = g_error_matches(error, PLATFORM_ERROR,
+					    PLATFORM_ERROR_COMPACTED);
 
 	char text[ENDPOINT_TEXT_BYTES];
 
 	counter_set_add(feed->counters, FEED_LOST, 1);
 	log_write(feed->log, LOG_LEVEL_INFO, "feed_ended",
-		  "source=%s address=%s reason=%s",
+		  "source=%s address=%s error=\"%s\"",
 		  source_names[feed->source.kind], source_text(feed, text),
-		  is_compacted ? "compacted" : "no_answer");
+		  error->message);
 	if (is_compacted || is_watch_unanswered(feed))
 		feed->is_whole_needed = true;
 	else
--- a/daemon/src/relay/feed_reader.c
+++ b/daemon/src/relay/feed_reader.c
@@ -1,6 +1,7 @@
 #include "feed_reader.h"
 
 #include <platform/kv_watch.h>
+#include <platform/platform_error.h>
 
 /* The empty prefix: all that the store holds. */
 #define ALL_KEYS ""
@@ -34,11 +35,11 @@
 	uint32_t pause_ms;
 };
 
-static void on_watch_ended(void *context, bool is_compacted)
+static void on_watch_ended(void *context, const GError *error)
 {
 	struct feed_reader *reader = context;
 
-	reader->options.on_ended(reader->options.context, is_compacted);
+	reader->options.on_ended(reader->options.context, error);
 }
 
 static void on_watch_events(void *context, const struct kv_reply *reply)
@@ -81,27 +82,35 @@
 }
 
 /* A node may hold an old copy; whether it follows the store shows at once. */
-static bool watch_behind(struct feed_reader *reader, int64_t revision)
+static bool watch_behind(struct feed_reader *reader, int64_t revision,
+			 GError **error)
 {
 	enum relay_source_kind kind = reader->options.source.kind;
 
 	if (kind == RELAY_SOURCE_PEER)
 		return open_watch(reader, revision, FIRST_WAIT_MS,
-				  FIRST_TIMEOUT_MS, NULL);
+				  FIRST_TIMEOUT_MS, error);
 	return open_watch(reader, revision, timings[kind].wait_ms,
-			  timings[kind].watch_timeout_ms, NULL);
+			  timings[kind].watch_timeout_ms, error);
 }
 
 static void on_read(void *context, enum kv_outcome outcome,
 		    const struct kv_reply *reply, const GError *error)
 {
 	struct feed_reader *reader = context;
-	if (outcome != KV_DONE || reply->store_revision <= 0 ||
-	    !watch_behind(reader, reply->store_revision)) {
-		reader->options.on_ended(reader->options.context, false);
-		return;
-	}
-	reader->options.on_whole(reader->options.context, reply);
+	GError *cause = NULL;
+
+	if (outcome != KV_DONE)
+		cause = g_error_copy(error);
+	else if (reply->store_revision <= 0)
+		cause = g_error_new_literal(PLATFORM_ERROR,
+					    PLATFORM_ERROR_MALFORMED,
+					    "an answer without a revision");
+	else if (watch_behind(reader, reply->store_revision, &cause))
+		reader->options.on_whole(reader->options.context, reply);
+	if (cause)
+		reader->options.on_ended(reader->options.context, cause);
+	g_clear_error(&cause);
 }
 
 static bool start(struct feed_reader *reader, GError **error)
--- a/daemon/src/relay/feed_reader.h
+++ b/daemon/src/relay/feed_reader.h
@@ -15,8 +15,8 @@
  * revision 0 reads all first, another watches from there. A reading that may
  * be stale costs less, and the watch behind it brings what is newer at once.
  * on_whole gets a whole reading, on_changes what a watch told, on_answer runs
- * with each answer of a watch, on_ended once; a compacted source has to be read
- * whole.
+ * with each answer of a watch, on_ended once; after
+ * PLATFORM_ERROR_COMPACTED the source has to be read whole.
  */
 struct feed_reader_options {
 	struct event_base *base;
@@ -28,7 +28,7 @@
 	void (*on_whole)(void *context, const struct kv_reply *reply);
 	void (*on_changes)(void *context, const struct kv_reply *reply);
 	void (*on_answer)(void *context);
-	void (*on_ended)(void *context, bool is_compacted);
+	void (*on_ended)(void *context, const GError *error);
 };
 
 struct feed_reader *feed_reader_new(const struct feed_reader_options *options,
--- a/daemon/src/relay/feed_task.c
+++ b/daemon/src/relay/feed_task.c
@@ -117,8 +117,7 @@
 	struct task *reply_to = ((struct drain_message *)message)->reply_to;
 	struct message *drained = drained_message_new(feed->task);
 
-	if (task_post(reply_to, drained) != POST_TAKEN)
-		message_free(drained);
+	task_post_or_free(reply_to, drained);
 }
 
 static void handle(void *context, struct message *message)
--- a/daemon/src/relay/relay_drain.c
+++ b/daemon/src/relay/relay_drain.c
@@ -26,7 +26,6 @@
 	    now_ms - packet_ms < QUIET_MS)
 		return;
 	drained = drained_message_new(task);
-	if (task_post(drain->reply_to, drained) != POST_TAKEN)
-		message_free(drained);
+	task_post_or_free(drain->reply_to, drained);
 	drain->reply_to = NULL;
 }
--- a/daemon/src/relay/stranger_message.c
+++ b/daemon/src/relay/stranger_message.c
@@ -17,6 +17,5 @@
 
 	stranger->message.type = &stranger_message_type;
 	stranger->endpoint = *endpoint;
-	if (task_post(task, &stranger->message) != POST_TAKEN)
-		message_free(&stranger->message);
+	task_post_or_free(task, &stranger->message);
 }
--- a/daemon/src/request_effects.c
+++ b/daemon/src/request_effects.c
@@ -168,8 +168,7 @@
 	struct message *reply =
 		claim_reply_message_new(request_id, CLAIM_UNKNOWN);
 
-	if (task_post(front->options.task, reply) != POST_TAKEN)
-		message_free(reply);
+	task_post_or_free(front->options.task, reply);
 }
 
 static bool post_claim(struct request_front *front, enum claim_action action,
--- a/daemon/src/request_task.c
+++ b/daemon/src/request_task.c
@@ -25,8 +25,7 @@
 	struct request_task *requests = context;
 	struct message *drained = drained_message_new(requests->task);
 
-	if (task_post(requests->drain_reply_to, drained) != POST_TAKEN)
-		message_free(drained);
+	task_post_or_free(requests->drain_reply_to, drained);
 }
 
 static bool start(void *context, struct task *task, GError **error)
--- a/daemon/src/shallotd.c
+++ b/daemon/src/shallotd.c
@@ -200,12 +200,6 @@
 	return true;
 }
 
-static void post_or_free(struct task *task, struct message *message)
-{
-	if (task_post(task, message) != POST_TAKEN)
-		message_free(message);
-}
-
 static bool load_rules(struct shallotd *daemon, GError **error)
 {
 	struct rule_set *rules;
@@ -216,10 +210,11 @@
 	if (!rules)
 		return false;
 	for (uint32_t i = 0; i < WORK_TASK_COUNT; i++)
-		post_or_free(daemon->tasks[WORK_TASK_FIRST + i],
-			     rules_message_new(rules));
+		task_post_or_free(daemon->tasks[WORK_TASK_FIRST + i],
+				  rules_message_new(rules));
 	rule_set_free(rules);
-	post_or_free(admin_task_task(daemon->admin), ready_message_new(true));
+	task_post_or_free(admin_task_task(daemon->admin),
+			  ready_message_new(true));
 	return true;
 }
 
@@ -296,7 +291,7 @@
 		      uint32_t rate_per_s)
 {
 	for (uint32_t i = 0; i < daemon->task_count; i++)
-		post_or_free(daemon->tasks[i],
-			     log_settings_message_new((enum log_level)level,
-						      rate_per_s));
+		task_post_or_free(daemon->tasks[i],
+				  log_settings_message_new(
+					  (enum log_level)level, rate_per_s));
 }
--- a/task/include/task/task.h
+++ b/task/include/task/task.h
@@ -31,6 +31,7 @@
 void task_stop(struct task *task);
 void task_free(struct task *task);
 enum post_result task_post(struct task *task, struct message *message);
+bool task_post_or_free(struct task *task, struct message *message);
 struct event_base *task_base(struct task *task);
 const char *task_name(const struct task *task);
 int64_t task_now_ms(void);
--- a/task/src/task.c
+++ b/task/src/task.c
@@ -214,6 +214,18 @@
 	return result;
 }
 
+/*
+ * Posts a message whose loss its sender bears; false where it was not taken
+ * and has been freed.
+ */
+bool task_post_or_free(struct task *task, struct message *message)
+{
+	if (task_post(task, message) == POST_TAKEN)
+		return true;
+	message_free(message);
+	return false;
+}
+
 /* Returns the loop on which the task's own thread registers its events. */
 struct event_base *task_base(struct task *task)
 {
