Have every watch on the store answered each second

Both readers' watches on the store fell silent at 2 s, with the connections open and the keep-alive probes of 3 s without effect; the calls came back when their 10 s were over, at 12.1 s. Until then the readers passed for live and their followers kept version 2, 5 s after version 5 was acknowledged.

Ruled out: the size of the configuration (1,685 routes), which followers had within half a second at 12.4 s.

Change: the store holds a watch for 1 s and a call ends after 1.8 s.

--- a/daemon/src/relay/feed_reader.c
+++ b/daemon/src/relay/feed_reader.c
@@ -7,16 +7,17 @@
 #define ALL_KEYS ""
 
 /*
- * How a kind of source is read. The store is asked seldom, as each call costs;
- * a node answers every second, so that one that stops is left within two. A
- * read takes milliseconds; a store that is slower is still read.
+ * How a kind of source is read. Each watch is answered every second, so that a
+ * source that has fallen silent is left within two: a configuration has 3 s to
+ * be in force everywhere, and those who read from this node wait for it. A
+ * slow store takes some 400 ms to answer.
  */
 static const struct {
 	uint32_t read_timeout_ms;
 	uint32_t wait_ms;
 	uint32_t watch_timeout_ms;
 } timings[] = {
-	[RELAY_SOURCE_STORE] = {2000, 10000, 12000},
+	[RELAY_SOURCE_STORE] = {2000, 1000, 1800},
 	[RELAY_SOURCE_PEER] = {500, 1000, 1500},
 };
 
--- a/daemon/test/feed_task_test.c
+++ b/daemon/test/feed_task_test.c
@@ -13,6 +13,9 @@
 /* Longer than any timeout of the feed on its way; a row takes a second. */
 #define PATIENCE_MS 15000
 
+/* The platform gives a configuration 3 s on its tightest deployments. */
+#define SOON_MS 3000
+
 enum verb {
 	END,
 	/* The operator writes version a, whatever the fault. */
@@ -30,6 +33,8 @@
 	/* The node or its follower has version a within the patience. */
 	KNOWS,
 	FOLLOWER_KNOWS,
+	/* The node has version a within the time that a configuration has. */
+	KNOWS_SOON,
 };
 
 struct step {
@@ -73,6 +78,13 @@
 	  {DROP_HISTORY, 0},
 	  {SILENT, 0},
 	  {KNOWS, 2}}},
+	{"watch-falls-silent-on-an-open-connection",
+	 {{WRITE, 1},
+	  {START, 0},
+	  {KNOWS, 1},
+	  {SILENT, 0},
+	  {WRITE, 2},
+	  {KNOWS_SOON, 2}}},
 	{"unreadable-configuration-changes-nothing",
 	 {{WRITE, 1},
 	  {START, 0},
@@ -172,9 +184,10 @@
 	start_node(follower);
 }
 
-static void wait_for(const struct node *node, uint32_t version)
+static void wait_for(const struct node *node, uint32_t version,
+		     uint32_t limit_ms)
 {
-	int64_t end_ms = task_now_ms() + PATIENCE_MS;
+	int64_t end_ms = task_now_ms() + limit_ms;
 
 	while (atomic_load(&node->sink.version) != version &&
 	       task_now_ms() < end_ms)
@@ -212,10 +225,13 @@
 		start_follower(fixture);
 		break;
 	case KNOWS:
-		wait_for(&fixture->node, step->a);
+		wait_for(&fixture->node, step->a, PATIENCE_MS);
 		break;
 	case FOLLOWER_KNOWS:
-		wait_for(&fixture->follower, step->a);
+		wait_for(&fixture->follower, step->a, PATIENCE_MS);
+		break;
+	case KNOWS_SOON:
+		wait_for(&fixture->node, step->a, SOON_MS);
 		break;
 	default:
 		set_fault(fixture, step);
