Take a refutation from a cut-off zone as a sign of life

The trace of node 44 and member 176: the zone was cut at 182 s and healed at 242 s. At 242.6 s 176 refuted its suspicion through others and was a home again; a late accusation made it a suspect anew, and 4 s later it was shown as cut off for the second time, since none of the 71 members of its zone had sent node 44 a message of its own in that time. With 355 nodes that is likely: a node hears a given zone directly about once a second. Their refutations had come in through other nodes all the while.

--- a/core/src/member.h
+++ b/core/src/member.h
@@ -19,6 +19,7 @@
 	struct suspicion suspicion;
 	uint32_t check_count;
 	int64_t acked_ms;
+	/* When it last gave a sign of life, itself or through others. */
 	int64_t heard_ms;
 	int64_t dead_ms;
 	uint64_t last_accuser_id;
--- a/core/src/membership_merge.c
+++ b/core/src/membership_merge.c
@@ -32,6 +32,8 @@
 
 	member->node = *node;
 	member->is_suspect = false;
+	/* Only the member raises its incarnation: it can be reached by some. */
+	member->heard_ms = now_ms;
 	note_change(membership, member);
 	membership_report(membership,
 			  was_suspect ? MEMBER_EVENT_REFUTED
