Add stand-ins for the platform's hosts, callers, router and a faulty node

The stand-ins of the home mode have flows without answers and hosts that know no packets of the platform.

Ruled out: using the decoder of package platform in the stand-ins: a wrong offset would then be wrong on both sides and show nowhere.

--- /dev/null
+++ b/fakes/src/ends/end_answer.c
@@ -0,0 +1,44 @@
+#include "end_answer.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define ID_HEADER "Shallotstream-Request-Id: "
+/* Three packets, so that an answer can come in part. */
+#define BODY_BYTES 2800
+#define HEX_BASE 16
+
+/* Writes a request that names its id. */
+char *end_request_text(uint64_t request_id)
+{
+	return g_strdup_printf("GET /soak HTTP/1.1\r\nHost: soak\r\n" ID_HEADER
+			       "%016" PRIx64 "\r\n\r\n",
+			       request_id);
+}
+
+/* Finds the id in a request; false where the bytes are no request. */
+bool end_request_read(uint64_t *request_id, const uint8_t *bytes,
+		      uint32_t length_bytes)
+{
+	char *text = g_strndup((const char *)bytes, length_bytes);
+	const char *found = strstr(text, ID_HEADER);
+
+	if (found)
+		*request_id = g_ascii_strtoull(found + strlen(ID_HEADER), NULL,
+					       HEX_BASE);
+	g_free(text);
+	return found != NULL;
+}
+
+/* Writes the answer that a request to a service has to get. */
+char *end_answer_text(uint64_t request_id, uint16_t service_port)
+{
+	char body[BODY_BYTES + 1];
+
+	for (uint32_t i = 0; i < BODY_BYTES; i++)
+		body[i] = (char)('a' + (request_id + service_port + i) % 26);
+	body[BODY_BYTES] = '\0';
+	return g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n"
+			       "\r\n%s",
+			       BODY_BYTES, body);
+}
--- /dev/null
+++ b/fakes/src/ends/fake_caller.c
@@ -0,0 +1,328 @@
+#include <fakes/fake_caller.h>
+
+#include "caller_flow.h"
+#include "node_rotation.h"
+
+#include <string.h>
+#include <task/timer.h>
+#include <task/udp_socket.h>
+
+#define MAILBOX_CAPACITY 64
+#define TICK_MS 10
+#define MS_PER_S 1000
+/* Ports of flows, used in turn, so that none is used again within a run. */
+#define PORT_FIRST 1024
+#define PORT_COUNT 64000
+#define REQUEST_IDS_PER_FLOW 4096
+#define PERCENT 100
+
+struct fake_caller {
+	struct fake_caller_options options;
+	struct task *task;
+	struct udp_socket *socket;
+	struct timer *timer;
+	struct node_rotation *rotation;
+	GRand *rand;
+	GHashTable *flows;
+	GArray *routes;
+	uint32_t share_sum;
+	uint32_t *loss_percent;
+	uint32_t flow_count;
+	uint32_t opened_count;
+	int64_t first_ms;
+	bool is_finishing;
+};
+
+enum caller_order_kind {
+	CALLER_SET_ROUTES,
+	CALLER_SET_LOSS,
+	CALLER_FINISH,
+};
+
+/* What the callers are told. */
+struct caller_order {
+	struct message message;
+	enum caller_order_kind kind;
+	GArray *routes;
+	uint32_t node;
+	uint32_t loss_percent;
+};
+
+static void order_free(struct message *message)
+{
+	struct caller_order *order = (struct caller_order *)message;
+
+	if (order->routes)
+		g_array_free(order->routes, TRUE);
+	g_free(order);
+}
+
+static const struct message_type order_type = {"caller_order", order_free};
+
+static uint64_t hash_of(const struct end_packet *packet)
+{
+	return endpoint_hash(&packet->source,
+			     endpoint_hash(&packet->destination, 0));
+}
+
+/* The router's part: hands a packet to the node of its flow. */
+static void on_send(void *context, const struct end_packet *packet)
+{
+	struct fake_caller *caller = context;
+	uint8_t bytes[END_PACKET_BYTES_MAX];
+	uint32_t length_bytes = end_packet_write(bytes, packet);
+	uint32_t node = node_rotation_pick(caller->rotation, hash_of(packet));
+
+	if ((uint32_t)g_rand_int_range(caller->rand, 0, PERCENT) <
+	    caller->loss_percent[node])
+		return;
+	udp_socket_send(caller->socket, &caller->options.nodes[node].packets,
+			bytes, length_bytes);
+}
+
+static void on_seen(void *context, const struct end_event *event)
+{
+	struct fake_caller *caller = context;
+
+	caller->options.observer.seen(caller->options.observer.context, event);
+}
+
+static void on_packet(void *context, const struct endpoint *from,
+		      const uint8_t *bytes, uint32_t length_bytes)
+{
+	struct fake_caller *caller = context;
+	struct end_packet packet = {.flags = 0};
+	enum end_packet_result result =
+		end_packet_read(&packet, bytes, length_bytes);
+	struct caller_flow *flow = g_hash_table_lookup(
+		caller->flows, GUINT_TO_POINTER(packet.destination.port));
+
+	if (flow)
+		caller_flow_receive(flow, &packet, result, task_now_ms());
+}
+
+static const struct caller_route *draw_route(struct fake_caller *caller)
+{
+	uint32_t drawn = (uint32_t)g_rand_int_range(caller->rand, 0,
+						    (gint32)caller->share_sum);
+
+	for (uint32_t i = 0; i < caller->routes->len; i++) {
+		const struct caller_route *route =
+			&g_array_index(caller->routes, struct caller_route, i);
+
+		if (drawn < route->share)
+			return route;
+		drawn -= route->share;
+	}
+	return NULL;
+}
+
+static void open_flow(struct fake_caller *caller, int64_t now_ms)
+{
+	const struct caller_route *route = draw_route(caller);
+	uint32_t number = caller->flow_count++;
+	struct caller_flow_options options = {
+		.caller = caller->options.listen,
+		.end_ms = now_ms +
+			  g_rand_int_range(caller->rand, 0,
+					   (gint32)caller->options.flow_ms * 2),
+		.pause_ms = caller->options.pause_ms,
+		.first_sequence = g_rand_int(caller->rand),
+		.context = caller,
+		.send = on_send,
+		.seen = on_seen,
+	};
+
+	if (!route)
+		return;
+	options.service = route->address;
+	options.caller.port = (uint16_t)(PORT_FIRST + number % PORT_COUNT);
+	options.first_request_id =
+		(caller->options.seed << 32 | number) * REQUEST_IDS_PER_FLOW;
+	g_hash_table_replace(caller->flows,
+			     GUINT_TO_POINTER(options.caller.port),
+			     caller_flow_new(&options, now_ms));
+}
+
+static void open_due(struct fake_caller *caller, int64_t now_ms)
+{
+	int64_t due_count = (now_ms - caller->first_ms) *
+			    caller->options.flows_per_s / MS_PER_S;
+
+	while (caller->opened_count < due_count) {
+		caller->opened_count++;
+		open_flow(caller, now_ms);
+	}
+}
+
+static void on_tick(void *context)
+{
+	struct fake_caller *caller = context;
+	int64_t now_ms = task_now_ms();
+	GHashTableIter iter;
+	gpointer flow;
+
+	if (!caller->is_finishing && caller->share_sum > 0)
+		open_due(caller, now_ms);
+	g_hash_table_iter_init(&iter, caller->flows);
+	while (g_hash_table_iter_next(&iter, NULL, &flow)) {
+		caller_flow_tick(flow, now_ms);
+		if (caller_flow_is_over(flow))
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+static bool start(void *context, struct task *task, GError **error)
+{
+	struct fake_caller *caller = context;
+	struct udp_socket_options options = {
+		.listen = caller->options.listen,
+		.context = caller,
+		.receive = on_packet,
+	};
+
+	caller->socket = udp_socket_new(task, &options, error);
+	if (!caller->socket)
+		return false;
+	caller->rotation = node_rotation_new(&caller->options, task);
+	caller->timer = timer_new(task, caller, on_tick);
+	timer_every(caller->timer, TICK_MS);
+	return true;
+}
+
+static void set_routes(struct fake_caller *caller, struct caller_order *order)
+{
+	if (caller->routes->len == 0)
+		caller->first_ms = task_now_ms();
+	g_array_free(caller->routes, TRUE);
+	caller->routes = g_steal_pointer(&order->routes);
+	caller->share_sum = 0;
+	for (uint32_t i = 0; i < caller->routes->len; i++)
+		caller->share_sum +=
+			g_array_index(caller->routes, struct caller_route, i)
+				.share;
+}
+
+static void finish(struct fake_caller *caller)
+{
+	GHashTableIter iter;
+	gpointer flow;
+
+	caller->is_finishing = true;
+	g_hash_table_iter_init(&iter, caller->flows);
+	while (g_hash_table_iter_next(&iter, NULL, &flow))
+		caller_flow_finish(flow);
+}
+
+static void handle(void *context, struct message *message)
+{
+	struct fake_caller *caller = context;
+	struct caller_order *order = (struct caller_order *)message;
+
+	switch (order->kind) {
+	case CALLER_SET_ROUTES:
+		set_routes(caller, order);
+		break;
+	case CALLER_SET_LOSS:
+		caller->loss_percent[order->node] = order->loss_percent;
+		break;
+	case CALLER_FINISH:
+		finish(caller);
+		break;
+	}
+	message_free(message);
+}
+
+static void stop(void *context)
+{
+	struct fake_caller *caller = context;
+
+	timer_free(caller->timer);
+	node_rotation_free(caller->rotation);
+	udp_socket_free(caller->socket);
+	caller->timer = NULL;
+	caller->rotation = NULL;
+	caller->socket = NULL;
+}
+
+/*
+ * Starts callers without routes; they open flows once they have some. nodes
+ * must outlive them. The caller frees them with fake_caller_free. Fails with
+ * TASK_ERROR.
+ */
+struct fake_caller *fake_caller_new(const struct fake_caller_options *options,
+				    GError **error)
+{
+	struct fake_caller *caller = g_new0(struct fake_caller, 1);
+	struct task_options task_options = {
+		.name = "caller",
+		.mailbox_capacity = MAILBOX_CAPACITY,
+		.context = caller,
+		.start = start,
+		.handle = handle,
+		.stop = stop,
+	};
+
+	caller->options = *options;
+	caller->rand = g_rand_new_with_seed((guint32)options->seed);
+	caller->routes = g_array_new(FALSE, FALSE, sizeof(struct caller_route));
+	caller->flows =
+		g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL,
+				      (GDestroyNotify)caller_flow_free);
+	caller->loss_percent = g_new0(uint32_t, options->node_count);
+	caller->task = task_new(&task_options, error);
+	if (caller->task && task_start(caller->task, error))
+		return caller;
+	fake_caller_free(caller);
+	return NULL;
+}
+
+/* Stops the callers at once; NULL is allowed. */
+void fake_caller_free(struct fake_caller *caller)
+{
+	if (!caller)
+		return;
+	task_free(caller->task);
+	g_hash_table_destroy(caller->flows);
+	g_array_free(caller->routes, TRUE);
+	g_rand_free(caller->rand);
+	g_free(caller->loss_percent);
+	g_free(caller);
+}
+
+static struct caller_order *order_new(enum caller_order_kind kind)
+{
+	struct caller_order *order = g_new0(struct caller_order, 1);
+
+	order->message.type = &order_type;
+	order->kind = kind;
+	return order;
+}
+
+/* Replaces the routes that new flows are drawn from, by their shares. */
+void fake_caller_set_routes(struct fake_caller *caller,
+			    const struct caller_route *routes, uint32_t count)
+{
+	struct caller_order *order = order_new(CALLER_SET_ROUTES);
+
+	order->routes = g_array_new(FALSE, FALSE, sizeof(*routes));
+	g_array_append_vals(order->routes, routes, count);
+	task_post_or_free(caller->task, &order->message);
+}
+
+/* Has the router lose some of the packets to a node. */
+void fake_caller_set_loss(struct fake_caller *caller, uint32_t node,
+			  uint32_t loss_percent)
+{
+	struct caller_order *order = order_new(CALLER_SET_LOSS);
+
+	order->node = node;
+	order->loss_percent = loss_percent;
+	task_post_or_free(caller->task, &order->message);
+}
+
+/* Opens no more flows and closes the open ones with their next answer. */
+void fake_caller_finish(struct fake_caller *caller)
+{
+	task_post_or_free(caller->task, &order_new(CALLER_FINISH)->message);
+}
--- /dev/null
+++ b/fakes/src/ends/tcp_proxy.c
@@ -0,0 +1,156 @@
+#include <fakes/tcp_proxy.h>
+
+#include "proxy_pair.h"
+
+#include <event2/listener.h>
+#include <sys/socket.h>
+#include <task/task_error.h>
+#include <unistd.h>
+#include <wire/sock_addr.h>
+
+#define MAILBOX_CAPACITY 64
+
+struct tcp_proxy {
+	struct tcp_proxy_options options;
+	struct task *task;
+	struct evconnlistener *listener;
+	struct tcp_proxy_fault fault;
+	GPtrArray *pairs;
+};
+
+struct fault_order {
+	struct message message;
+	struct tcp_proxy_fault fault;
+};
+
+static void order_free(struct message *message)
+{
+	g_free(message);
+}
+
+static const struct message_type order_type = {"proxy_fault", order_free};
+
+static void on_ended(void *context, struct proxy_pair *pair)
+{
+	struct tcp_proxy *proxy = context;
+
+	g_ptr_array_remove_fast(proxy->pairs, pair);
+}
+
+static void refuse(evutil_socket_t fd)
+{
+	struct linger reset = {.l_onoff = 1};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	close(fd);
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *address, int length, void *context)
+{
+	struct tcp_proxy *proxy = context;
+	struct proxy_pair_options options = {
+		.task = proxy->task,
+		.client_fd = fd,
+		.server = proxy->options.server,
+		.fault = &proxy->fault,
+		.context = proxy,
+		.ended = on_ended,
+	};
+
+	if (proxy->fault.is_reset)
+		refuse(fd);
+	else
+		g_ptr_array_add(proxy->pairs, proxy_pair_new(&options));
+}
+
+static bool start(void *context, struct task *task, GError **error)
+{
+	struct tcp_proxy *proxy = context;
+	struct sockaddr_storage storage;
+	socklen_t length =
+		sock_addr_from_endpoint(&storage, &proxy->options.listen);
+	char text[ENDPOINT_TEXT_BYTES];
+
+	proxy->listener = evconnlistener_new_bind(
+		task_base(task), on_accept, proxy,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE |
+			LEV_OPT_CLOSE_ON_EXEC,
+		-1, (struct sockaddr *)&storage, (int)length);
+	if (proxy->listener)
+		return true;
+	g_set_error(error, TASK_ERROR, TASK_ERROR_SOCKET,
+		    "a proxy cannot listen on %s",
+		    endpoint_format(&proxy->options.listen, text));
+	return false;
+}
+
+static void handle(void *context, struct message *message)
+{
+	struct tcp_proxy *proxy = context;
+	const struct fault_order *order = (const struct fault_order *)message;
+
+	proxy->fault = order->fault;
+	if (proxy->fault.is_reset)
+		g_ptr_array_set_size(proxy->pairs, 0);
+	/* From the last one on, since those that end leave the array. */
+	for (uint32_t i = proxy->pairs->len; i-- > 0;)
+		proxy_pair_fault_changed(g_ptr_array_index(proxy->pairs, i));
+	message_free(message);
+}
+
+static void stop(void *context)
+{
+	struct tcp_proxy *proxy = context;
+
+	evconnlistener_free(proxy->listener);
+	g_ptr_array_set_size(proxy->pairs, 0);
+}
+
+/*
+ * Starts a proxy before a server. The caller frees it with tcp_proxy_free.
+ * Fails with TASK_ERROR.
+ */
+struct tcp_proxy *tcp_proxy_new(const struct tcp_proxy_options *options,
+				GError **error)
+{
+	struct tcp_proxy *proxy = g_new0(struct tcp_proxy, 1);
+	struct task_options task_options = {
+		.name = "proxy",
+		.mailbox_capacity = MAILBOX_CAPACITY,
+		.context = proxy,
+		.start = start,
+		.handle = handle,
+		.stop = stop,
+	};
+
+	proxy->options = *options;
+	proxy->pairs =
+		g_ptr_array_new_with_free_func((GDestroyNotify)proxy_pair_free);
+	proxy->task = task_new(&task_options, error);
+	if (proxy->task && task_start(proxy->task, error))
+		return proxy;
+	tcp_proxy_free(proxy);
+	return NULL;
+}
+
+/* Stops a proxy and ends its connections; NULL is allowed. */
+void tcp_proxy_free(struct tcp_proxy *proxy)
+{
+	if (!proxy)
+		return;
+	task_free(proxy->task);
+	g_ptr_array_free(proxy->pairs, TRUE);
+	g_free(proxy);
+}
+
+/* Replaces the fault that the proxy shows. */
+void tcp_proxy_set_fault(struct tcp_proxy *proxy,
+			 const struct tcp_proxy_fault *fault)
+{
+	struct fault_order *order = g_new0(struct fault_order, 1);
+
+	order->message.type = &order_type;
+	order->fault = *fault;
+	task_post_or_free(proxy->task, &order->message);
+}
--- /dev/null
+++ b/fakes/src/ends/wrong_node.c
@@ -0,0 +1,330 @@
+#include <fakes/wrong_node.h>
+
+#include <fakes/end_packet.h>
+#include <string.h>
+#include <task/task.h>
+#include <task/udp_socket.h>
+
+#define MAILBOX_CAPACITY 256
+/* Of packets on open flows, each so many meets the mistake. */
+#define MISTAKE_INTERVAL 8
+/* How long a node that goes back has followed the configuration. */
+#define GOES_BACK_AFTER_MS 3000
+#define DATAGRAM_BYTES_MAX (END_PACKET_HOST_ID_BYTES + END_PACKET_BYTES_MAX)
+
+struct wrong_node {
+	struct wrong_node_options options;
+	struct task *task;
+	struct udp_socket *socket;
+	GRand *rand;
+	GArray *hosts;
+	GArray *routes;
+	uint32_t packet_count;
+	int64_t last_removal_ms;
+};
+
+/* What the node is told; one of both is set. */
+struct node_news {
+	struct message message;
+	bool is_route;
+	struct wrong_node_host host;
+	struct wrong_node_route route;
+};
+
+static void news_free(struct message *message)
+{
+	g_free(message);
+}
+
+static const struct message_type news_type = {"wrong_node_news", news_free};
+
+static const char *const fault_names[] = {
+	[WRONG_NODE_NONE] = "none",
+	[WRONG_NODE_USES_DRAINING] = "uses-draining",
+	[WRONG_NODE_KEEPS_ROUTES] = "keeps-routes",
+	[WRONG_NODE_GOES_BACK] = "goes-back",
+	[WRONG_NODE_RESETS_OPEN] = "resets-open",
+	[WRONG_NODE_CHANGES_PACKETS] = "changes-packets",
+	[WRONG_NODE_MOVES_FLOWS] = "moves-flows",
+	[WRONG_NODE_USES_ANY_SERVICE] = "uses-any-service",
+	[WRONG_NODE_REFUSES] = "refuses",
+	[WRONG_NODE_DROPS] = "drops",
+};
+
+/* Returns the name of a mistake. */
+const char *wrong_node_fault_name(enum wrong_node_fault fault)
+{
+	return fault_names[fault];
+}
+
+static bool has_fault(const struct wrong_node *node,
+		      enum wrong_node_fault fault)
+{
+	return node->options.fault == fault;
+}
+
+static bool is_mistake_due(const struct wrong_node *node,
+			   enum wrong_node_fault fault)
+{
+	return has_fault(node, fault) &&
+	       node->packet_count % MISTAKE_INTERVAL == 0;
+}
+
+static struct wrong_node_route *find_route(const struct wrong_node *node,
+					   const struct endpoint *address)
+{
+	for (uint32_t i = 0; i < node->routes->len; i++) {
+		struct wrong_node_route *route = &g_array_index(
+			node->routes, struct wrong_node_route, i);
+
+		if (endpoint_equal(&route->address, address))
+			return route;
+	}
+	return NULL;
+}
+
+static struct wrong_node_host *host_at(const struct wrong_node *node,
+				       uint32_t index)
+{
+	return &g_array_index(node->hosts, struct wrong_node_host, index);
+}
+
+static struct wrong_node_host *find_host(const struct wrong_node *node,
+					 uint64_t host_id)
+{
+	for (uint32_t i = 0; i < node->hosts->len; i++) {
+		if (host_at(node, i)->host_id == host_id)
+			return host_at(node, i);
+	}
+	return NULL;
+}
+
+static bool may_take(const struct wrong_node *node,
+		     const struct wrong_node_host *host, uint32_t service)
+{
+	bool is_any_state = has_fault(node, WRONG_NODE_USES_DRAINING);
+	bool is_any_service = has_fault(node, WRONG_NODE_USES_ANY_SERVICE);
+
+	return (host->is_ready || is_any_state) &&
+	       (host->service == service || is_any_service);
+}
+
+static struct wrong_node_host *draw_host(struct wrong_node *node,
+					 uint32_t service)
+{
+	uint32_t count = node->hosts->len;
+	uint32_t first = count > 0 ? g_rand_int(node->rand) % count : 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		struct wrong_node_host *host =
+			host_at(node, (first + i) % count);
+
+		if (may_take(node, host, service))
+			return host;
+	}
+	return NULL;
+}
+
+static void forward(struct wrong_node *node, const struct wrong_node_host *host,
+		    const uint8_t *bytes, uint32_t length_bytes)
+{
+	uint8_t datagram[DATAGRAM_BYTES_MAX];
+	uint8_t *packet = datagram + END_PACKET_HOST_ID_BYTES;
+
+	end_packet_write_host_id(datagram, host->host_id);
+	memcpy(packet, bytes, length_bytes);
+	end_packet_write_tag(packet, (uint32_t)host->host_id);
+	if (is_mistake_due(node, WRONG_NODE_CHANGES_PACKETS))
+		packet[length_bytes - 1] ^= 1;
+	udp_socket_send(node->socket, &host->endpoint, datagram,
+			END_PACKET_HOST_ID_BYTES + length_bytes);
+}
+
+static void reset(struct wrong_node *node, const struct end_packet *packet)
+{
+	uint8_t bytes[END_PACKET_HEADER_BYTES];
+	struct endpoint to = packet->source;
+
+	end_packet_write_foreign_reset(bytes, packet);
+	to.port = node->options.caller_port;
+	udp_socket_send(node->socket, &to, bytes, sizeof(bytes));
+}
+
+static void take_opening(struct wrong_node *node,
+			 const struct end_packet *packet, const uint8_t *bytes,
+			 uint32_t length_bytes)
+{
+	const struct wrong_node_route *route =
+		find_route(node, &packet->destination);
+	bool is_back =
+		has_fault(node, WRONG_NODE_GOES_BACK) &&
+		task_now_ms() - node->last_removal_ms >= GOES_BACK_AFTER_MS;
+	bool is_kept = has_fault(node, WRONG_NODE_KEEPS_ROUTES) || is_back;
+	const struct wrong_node_host *host =
+		route && (route->is_present || is_kept)
+			? draw_host(node, route->service)
+			: NULL;
+
+	if (!host || has_fault(node, WRONG_NODE_REFUSES))
+		reset(node, packet);
+	else if (!has_fault(node, WRONG_NODE_DROPS))
+		forward(node, host, bytes, length_bytes);
+}
+
+static void take_packet(struct wrong_node *node,
+			const struct end_packet *packet, const uint8_t *bytes,
+			uint32_t length_bytes)
+{
+	const struct wrong_node_host *host = find_host(node, packet->tag);
+
+	if (has_fault(node, WRONG_NODE_MOVES_FLOWS) && host)
+		host = draw_host(node, host->service);
+	if (!host)
+		return;
+	if (is_mistake_due(node, WRONG_NODE_RESETS_OPEN))
+		reset(node, packet);
+	else
+		forward(node, host, bytes, length_bytes);
+}
+
+static void on_packet(void *context, const struct endpoint *from,
+		      const uint8_t *bytes, uint32_t length_bytes)
+{
+	struct wrong_node *node = context;
+	struct end_packet packet = {.flags = 0};
+
+	if (end_packet_read(&packet, bytes, length_bytes) != END_PACKET_WHOLE)
+		return;
+	node->packet_count++;
+	if (packet.flags == END_FLAG_SYN)
+		take_opening(node, &packet, bytes, length_bytes);
+	else
+		take_packet(node, &packet, bytes, length_bytes);
+}
+
+static bool start(void *context, struct task *task, GError **error)
+{
+	struct wrong_node *node = context;
+	struct udp_socket_options options = {
+		.listen = node->options.listen,
+		.context = node,
+		.receive = on_packet,
+	};
+
+	node->socket = udp_socket_new(task, &options, error);
+	return node->socket != NULL;
+}
+
+static void learn_route(struct wrong_node *node,
+			const struct wrong_node_route *news)
+{
+	struct wrong_node_route *route = find_route(node, &news->address);
+
+	if (!news->is_present)
+		node->last_removal_ms = task_now_ms();
+	if (route)
+		*route = *news;
+	else
+		g_array_append_val(node->routes, *news);
+}
+
+static void learn_host(struct wrong_node *node,
+		       const struct wrong_node_host *news)
+{
+	struct wrong_node_host *host = find_host(node, news->host_id);
+
+	if (host)
+		*host = *news;
+	else
+		g_array_append_val(node->hosts, *news);
+}
+
+static void handle(void *context, struct message *message)
+{
+	struct wrong_node *node = context;
+	const struct node_news *news = (const struct node_news *)message;
+
+	if (news->is_route)
+		learn_route(node, &news->route);
+	else
+		learn_host(node, &news->host);
+	message_free(message);
+}
+
+static void stop(void *context)
+{
+	struct wrong_node *node = context;
+
+	udp_socket_free(node->socket);
+	node->socket = NULL;
+}
+
+/*
+ * Starts a node that knows nothing. The caller frees it with wrong_node_free.
+ * Fails with TASK_ERROR.
+ */
+struct wrong_node *wrong_node_new(const struct wrong_node_options *options,
+				  GError **error)
+{
+	struct wrong_node *node = g_new0(struct wrong_node, 1);
+	struct task_options task_options = {
+		.name = "wrong-node",
+		.mailbox_capacity = MAILBOX_CAPACITY,
+		.context = node,
+		.start = start,
+		.handle = handle,
+		.stop = stop,
+	};
+
+	node->options = *options;
+	node->rand = g_rand_new_with_seed(options->listen.port);
+	node->hosts = g_array_new(FALSE, FALSE, sizeof(struct wrong_node_host));
+	node->routes =
+		g_array_new(FALSE, FALSE, sizeof(struct wrong_node_route));
+	node->task = task_new(&task_options, error);
+	if (node->task && task_start(node->task, error))
+		return node;
+	wrong_node_free(node);
+	return NULL;
+}
+
+/* Stops a node; NULL is allowed. */
+void wrong_node_free(struct wrong_node *node)
+{
+	if (!node)
+		return;
+	task_free(node->task);
+	g_rand_free(node->rand);
+	g_array_free(node->hosts, TRUE);
+	g_array_free(node->routes, TRUE);
+	g_free(node);
+}
+
+static struct node_news *news_new(void)
+{
+	struct node_news *news = g_new0(struct node_news, 1);
+
+	news->message.type = &news_type;
+	return news;
+}
+
+/* Tells the node of a host's entry. */
+void wrong_node_set_host(struct wrong_node *node,
+			 const struct wrong_node_host *host)
+{
+	struct node_news *news = news_new();
+
+	news->host = *host;
+	task_post_or_free(node->task, &news->message);
+}
+
+/* Tells the node of a route. */
+void wrong_node_set_route(struct wrong_node *node,
+			  const struct wrong_node_route *route)
+{
+	struct node_news *news = news_new();
+
+	news->is_route = true;
+	news->route = *route;
+	task_post_or_free(node->task, &news->message);
+}
