Add a fault soak: real nodes, faults from outside, judged by callers and hosts

Nothing ran shallotd processes through series of signals, cut links and store faults while clients keep their flows.

Change: package soak and shallotctl soak.

Ruled out: judging from the nodes' own metrics or logs (a node that is wrong about itself would pass); virtual time (signals, sockets and the kernel's buffers are what is tested).

--- a/ctl/main.c
+++ b/ctl/main.c
@@ -5,8 +5,9 @@
 #include <string.h>
 
 static const struct command *const commands[] = {
-	&bench_command, &check_command,	   &demo_command,   &explain_command,
-	&load_command,	&stand_in_command, &status_command, &sync_command,
+	&bench_command,	   &check_command,  &demo_command,
+	&explain_command,  &load_command,   &soak_command,
+	&stand_in_command, &status_command, &sync_command,
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
--- /dev/null
+++ b/ctl/src/soak_command.c
@@ -0,0 +1,214 @@
+#include <ctl/command.h>
+
+#include "soak_arguments.h"
+
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <soak/soak_error.h>
+#include <soak/soak_shrink.h>
+#include <stdio.h>
+#include <string.h>
+
+#define SHRINK_TRIES_MAX 40
+
+static volatile sig_atomic_t is_stopped;
+
+static void on_signal(int number)
+{
+	is_stopped = 1;
+}
+
+/* What a search for a shorter schedule needs from run to run. */
+struct retry {
+	const struct soak_arguments *arguments;
+	uint32_t try_count;
+};
+
+static void print_result(const struct soak_arguments *arguments,
+			 const struct soak_result *result)
+{
+	printf("seed %" PRIu64 ": %" PRIu64 " requests answered, %" PRIu64
+	       " failed, %u rules broken\n",
+	       arguments->options.seed, result->answered_count,
+	       result->failed_count, result->broken_sum);
+	for (int i = 0; i < SOAK_RULE_COUNT; i++) {
+		if (result->broken_counts[i] > 0)
+			printf("  %s: %u\n", soak_rule_name((enum soak_rule)i),
+			       result->broken_counts[i]);
+	}
+	printf("largest node: %u KB, %u descriptors, %u threads\n",
+	       result->memory_kb, result->descriptor_count,
+	       result->thread_count);
+	fflush(stdout);
+}
+
+static struct soak_schedule *read_schedule(const char *path, GError **error)
+{
+	struct soak_schedule *schedule;
+	char *text;
+
+	if (!g_file_get_contents(path, &text, NULL, error))
+		return NULL;
+	schedule = soak_schedule_parse(text, error);
+	g_free(text);
+	return schedule;
+}
+
+static struct soak_schedule *
+make_schedule(const struct soak_arguments *arguments, GError **error)
+{
+	if (arguments->replay_path)
+		return read_schedule(arguments->replay_path, error);
+	if (arguments->options.wrong)
+		return soak_schedule_parse(soak_wrong_schedule(), error);
+	return soak_schedule_draw(arguments->options.seed,
+				  arguments->duration_ms);
+}
+
+static void print_schedule(const struct soak_schedule *schedule)
+{
+	char *text = soak_schedule_text(schedule);
+
+	fputs(text, stdout);
+	fflush(stdout);
+	g_free(text);
+}
+
+/* A deliberate fault must be found, and nothing without one. */
+static bool is_as_expected(const struct soak_arguments *arguments,
+			   const struct soak_result *result)
+{
+	const struct soak_wrong *wrong = arguments->options.wrong;
+
+	if (!wrong || wrong->rule == SOAK_RULE_COUNT)
+		return result->broken_sum == 0;
+	return result->broken_counts[wrong->rule] > 0;
+}
+
+/* A run without a verdict counts as one that does not fail. */
+static bool fails(void *context, const struct soak_schedule *schedule)
+{
+	struct retry *retry = context;
+	struct soak_result result;
+	GError *error = NULL;
+
+	if (is_stopped)
+		return false;
+	printf("try %u: %u faults\n", ++retry->try_count,
+	       soak_schedule_count(schedule));
+	if (!soak_run(&retry->arguments->options, schedule, &result, &error)) {
+		fprintf(stderr, "shallotctl: %s\n", error->message);
+		g_error_free(error);
+		return false;
+	}
+	print_result(retry->arguments, &result);
+	return result.broken_sum > 0;
+}
+
+static void shrink(const struct soak_arguments *arguments,
+		   const struct soak_schedule *schedule)
+{
+	struct retry retry = {.arguments = arguments};
+	struct soak_shrink_options options = {SHRINK_TRIES_MAX, &retry, fails};
+	struct soak_schedule *best = soak_shrink(schedule, &options);
+
+	printf("the shortest schedule that failed:\n");
+	print_schedule(best);
+	soak_schedule_free(best);
+}
+
+static int play(const struct soak_arguments *arguments, GError **error)
+{
+	struct soak_schedule *schedule = make_schedule(arguments, error);
+	struct soak_result result;
+	bool is_good;
+
+	if (!schedule)
+		return EXIT_CODE_BAD_DATA;
+	print_schedule(schedule);
+	if (!soak_run(&arguments->options, schedule, &result, error)) {
+		soak_schedule_free(schedule);
+		return EXIT_CODE_UNAVAILABLE;
+	}
+	print_result(arguments, &result);
+	is_good = is_as_expected(arguments, &result);
+	if (!is_good && arguments->replay_path)
+		shrink(arguments, schedule);
+	soak_schedule_free(schedule);
+	if (!is_good || arguments->is_directory_given)
+		printf("report and logs: %s\n", arguments->options.directory);
+	return is_good ? EXIT_CODE_DONE : EXIT_CODE_FAILED;
+}
+
+static void list_wrong(void)
+{
+	for (uint32_t i = 0; soak_wrong_at(i); i++)
+		puts(soak_wrong_at(i)->name);
+}
+
+/* Removes the files of a run that went well, where nobody asked for them. */
+static void clean_up(const struct soak_arguments *arguments)
+{
+	GDir *directory = g_dir_open(arguments->options.directory, 0, NULL);
+	const char *name;
+
+	while (directory && (name = g_dir_read_name(directory))) {
+		char *path = g_build_filename(arguments->options.directory,
+					      name, NULL);
+
+		g_unlink(path);
+		g_free(path);
+	}
+	if (directory)
+		g_dir_close(directory);
+	g_rmdir(arguments->options.directory);
+}
+
+static int run_in_directory(struct soak_arguments *arguments)
+{
+	GError *error = NULL;
+	int code = EXIT_CODE_FAILED;
+
+	if (soak_arguments_make_directory(arguments, &error))
+		code = play(arguments, &error);
+	if (error) {
+		fprintf(stderr, "shallotctl: %s\n", error->message);
+		g_error_free(error);
+	}
+	if (code == EXIT_CODE_DONE && !arguments->is_directory_given)
+		clean_up(arguments);
+	return code;
+}
+
+static int run(int argc, char **argv)
+{
+	struct soak_arguments *arguments = soak_arguments_new();
+	int code = EXIT_CODE_DONE;
+
+	signal(SIGPIPE, SIG_IGN);
+	signal(SIGINT, on_signal);
+	signal(SIGTERM, on_signal);
+	arguments->options.is_stopped = &is_stopped;
+	switch (soak_arguments_read(arguments, argc, argv)) {
+	case SOAK_ARGUMENTS_RUN:
+		code = run_in_directory(arguments);
+		break;
+	case SOAK_ARGUMENTS_LIST:
+		list_wrong();
+		break;
+	case SOAK_ARGUMENTS_HELP:
+		soak_arguments_print_usage(stdout);
+		break;
+	case SOAK_ARGUMENTS_BAD:
+		soak_arguments_print_usage(stderr);
+		code = EXIT_CODE_USAGE;
+		break;
+	}
+	soak_arguments_free(arguments);
+	return code;
+}
+
+const struct command soak_command = {
+	"soak", "run real nodes under faults and check what callers see", run};
--- /dev/null
+++ b/soak/src/node_settings.c
@@ -0,0 +1,89 @@
+#include "node_settings.h"
+
+#include "soak_net.h"
+#include "soak_nodes.h"
+
+/* Nodes whose addresses stand in the settings, as on the platform. */
+#define SEED_COUNT_MAX 3
+#define LINK_MBPS 100
+
+static const char *const zones[SOAK_ZONE_COUNT] = {"soak-a", "soak-b"};
+
+/* Returns the zone of a node, and of hosts and callers by the same rule. */
+const char *node_settings_zone(uint32_t node)
+{
+	return zones[node % SOAK_ZONE_COUNT];
+}
+
+static char *format(enum soak_net_part part, uint32_t node)
+{
+	struct endpoint endpoint = soak_net_endpoint(part, node);
+	char text[ENDPOINT_TEXT_BYTES];
+
+	return g_strdup(endpoint_format(&endpoint, text));
+}
+
+static char *list_seeds(uint32_t node_count)
+{
+	GString *seeds = g_string_new(NULL);
+
+	for (uint32_t i = 0; i < MIN(node_count, (uint32_t)SEED_COUNT_MAX);
+	     i++) {
+		char *text = format(SOAK_NET_NODE_PEERS, i);
+
+		g_string_append_printf(seeds, "%s%s", i > 0 ? "," : "", text);
+		g_free(text);
+	}
+	return g_string_free(seeds, FALSE);
+}
+
+static void add_listen(GString *text, uint32_t node)
+{
+	static const struct {
+		const char *key;
+		enum soak_net_part part;
+	} rows[] = {
+		{"packets", SOAK_NET_NODE_PACKETS},
+		{"admin", SOAK_NET_NODE_ADMIN},
+		{"metrics", SOAK_NET_NODE_METRICS},
+		{"peers", SOAK_NET_NODE_PEERS},
+	};
+
+	g_string_append(text, "listen:\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *address = format(rows[i].part, node);
+
+		g_string_append_printf(text, "  %s: \"%s\"\n", rows[i].key,
+				       address);
+		g_free(address);
+	}
+}
+
+/* Writes a node's settings. Fails with a file error. */
+bool node_settings_write(const char *path, uint32_t node, uint32_t node_count,
+			 uint32_t log_rate_per_s, GError **error)
+{
+	GString *text = g_string_new(NULL);
+	char *seeds = list_seeds(node_count);
+	char *store = format(SOAK_NET_NODE_STORE, node);
+	bool is_written;
+
+	g_string_append_printf(text,
+			       "node: {name: soak-%u, zone: %s, region: soak}\n"
+			       "delivery: {mode: tag}\n",
+			       node, node_settings_zone(node));
+	add_listen(text, node);
+	g_string_append_printf(text,
+			       "peers: {seeds: \"%s\", link_mbps: %d}\n"
+			       "platform: {store: \"%s\"}\n"
+			       "flows: {capacity: 50000}\n"
+			       "log: {level: info, rate_per_s: %u}\n"
+			       "drain: {timeout_ms: %d}\n",
+			       seeds, LINK_MBPS, store, log_rate_per_s,
+			       NODE_DRAIN_TIMEOUT_MS);
+	is_written = g_file_set_contents(path, text->str, -1, error);
+	g_string_free(text, TRUE);
+	g_free(seeds);
+	g_free(store);
+	return is_written;
+}
--- /dev/null
+++ b/soak/src/node_settings.h
@@ -0,0 +1,16 @@
+#ifndef NODE_SETTINGS_H
+#define NODE_SETTINGS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/* How long nodes may take to drain, by their settings. */
+#define NODE_DRAIN_TIMEOUT_MS 5000
+
+/* The settings files of a run's nodes. */
+const char *node_settings_zone(uint32_t node);
+bool node_settings_write(const char *path, uint32_t node, uint32_t node_count,
+			 uint32_t log_rate_per_s, GError **error);
+
+#endif
--- /dev/null
+++ b/soak/src/soak_fleet.c
@@ -0,0 +1,194 @@
+#include "soak_fleet.h"
+
+#include "node_settings.h"
+#include "soak_net.h"
+
+#include <task/task.h>
+
+#define ANSWER_MS 10
+/* Longer than the first time after which callers send a request again. */
+#define SLOW_ANSWER_MS 300
+#define FLOW_MS 2500
+#define PAUSE_MS 250
+
+static uint32_t all_node_count(const struct soak_fleet *fleet)
+{
+	return fleet->options.node_count + (fleet->options.wrong ? 1 : 0);
+}
+
+static void list_nodes(struct soak_fleet *fleet)
+{
+	uint32_t count = all_node_count(fleet);
+
+	fleet->node_addresses = g_new0(struct endpoint, count);
+	fleet->caller_nodes = g_new0(struct caller_node, count);
+	for (uint32_t i = 0; i < count; i++) {
+		bool is_real = i < fleet->options.node_count;
+
+		fleet->node_addresses[i] =
+			soak_net_endpoint(SOAK_NET_NODE_PACKETS, i);
+		fleet->caller_nodes[i] = (struct caller_node){
+			.packets = fleet->node_addresses[i],
+			.zone = node_settings_zone(i),
+		};
+		if (is_real)
+			fleet->caller_nodes[i].admin =
+				soak_net_endpoint(SOAK_NET_NODE_ADMIN, i);
+	}
+}
+
+static bool start_judge(struct soak_fleet *fleet, GError **error)
+{
+	struct soak_judge_options options = {
+		.nodes = fleet->node_addresses,
+		.node_count = all_node_count(fleet),
+		.start_ms = task_now_ms(),
+	};
+
+	fleet->judge = judge_task_new(&options, error);
+	return fleet->judge != NULL;
+}
+
+static bool start_wrong_node(struct soak_fleet *fleet, GError **error)
+{
+	struct wrong_node_options options = {
+		.listen = soak_net_endpoint(SOAK_NET_NODE_PACKETS,
+					    fleet->options.node_count),
+		.caller_port = soak_net_endpoint(SOAK_NET_CALLER, 0).port,
+	};
+
+	if (!fleet->options.wrong)
+		return true;
+	options.fault = fleet->options.wrong->node_fault;
+	fleet->wrong = wrong_node_new(&options, error);
+	return fleet->wrong != NULL;
+}
+
+static bool start_store(struct soak_fleet *fleet, GError **error)
+{
+	struct soak_routes_options routes = {
+		.service_count = fleet->options.service_count,
+		.judge = fleet->judge,
+		.wrong = fleet->wrong,
+	};
+
+	fleet->store = soak_store_new(fleet->judge, error);
+	if (!fleet->store)
+		return false;
+	routes.kv = soak_store_kv(fleet->store);
+	fleet->routes = soak_routes_new(&routes);
+	return true;
+}
+
+static bool start_hosts(struct soak_fleet *fleet, GError **error)
+{
+	const struct soak_wrong *wrong = fleet->options.wrong;
+	bool is_repeating = wrong && wrong->is_host_running_repeats;
+	struct soak_hosts_options options = {
+		.service_count = fleet->options.service_count,
+		.hosts_per_service = fleet->options.hosts_per_service,
+		.answer_ms = is_repeating ? SLOW_ANSWER_MS : ANSWER_MS,
+		.is_running_repeats = is_repeating,
+		.kv = soak_store_kv(fleet->store),
+		.judge = fleet->judge,
+		.steps = fleet->steps,
+		.wrong = fleet->wrong,
+	};
+
+	fleet->hosts = soak_hosts_new(&options, error);
+	return fleet->hosts != NULL;
+}
+
+static bool start_nodes(struct soak_fleet *fleet, GError **error)
+{
+	struct soak_nodes_options options = {
+		.program = fleet->options.program,
+		.directory = fleet->options.directory,
+		.node_count = fleet->options.node_count,
+		.judge = fleet->judge,
+		.steps = fleet->steps,
+	};
+
+	fleet->nodes = soak_nodes_new(&options, error);
+	return fleet->nodes && soak_nodes_wait_ready(fleet->nodes, error);
+}
+
+/*
+ * Starts everything but the callers, and waits until the nodes are ready. The
+ * caller frees the fleet. Fails with SOAK_ERROR, TASK_ERROR or a file error.
+ */
+struct soak_fleet *soak_fleet_new(const struct soak_options *options,
+				  GError **error)
+{
+	struct soak_fleet *fleet = g_new0(struct soak_fleet, 1);
+
+	fleet->options = *options;
+	fleet->steps = soak_steps_new();
+	fleet->loss_depths = g_new0(uint32_t, options->node_count);
+	list_nodes(fleet);
+	if (start_judge(fleet, error) && start_wrong_node(fleet, error) &&
+	    start_store(fleet, error) && start_hosts(fleet, error) &&
+	    start_nodes(fleet, error))
+		return fleet;
+	soak_fleet_free(fleet);
+	return NULL;
+}
+
+/* Ends everything that still runs; NULL is allowed. */
+void soak_fleet_free(struct soak_fleet *fleet)
+{
+	if (!fleet)
+		return;
+	for (uint32_t i = 0; i < SOAK_CALLER_COUNT; i++)
+		fake_caller_free(fleet->callers[i]);
+	soak_nodes_free(fleet->nodes);
+	soak_hosts_free(fleet->hosts);
+	soak_routes_free(fleet->routes);
+	soak_store_free(fleet->store);
+	wrong_node_free(fleet->wrong);
+	judge_task_free(fleet->judge);
+	soak_steps_free(fleet->steps);
+	g_free(fleet->node_addresses);
+	g_free(fleet->caller_nodes);
+	g_free(fleet->loss_depths);
+	g_free(fleet);
+}
+
+static bool start_caller(struct soak_fleet *fleet, uint32_t index,
+			 GError **error)
+{
+	struct fake_caller_options options = {
+		.zone = node_settings_zone(index),
+		.listen = soak_net_endpoint(SOAK_NET_CALLER, index),
+		.nodes = fleet->caller_nodes,
+		.node_count = all_node_count(fleet),
+		.flows_per_s = fleet->options.flows_per_s / SOAK_CALLER_COUNT,
+		.flow_ms = FLOW_MS,
+		.pause_ms = PAUSE_MS,
+		.is_steady = fleet->options.is_steady,
+		.seed = fleet->options.seed * SOAK_CALLER_COUNT + index,
+		.observer = {fleet->judge, judge_task_event},
+	};
+
+	fleet->callers[index] = fake_caller_new(&options, error);
+	return fleet->callers[index] != NULL;
+}
+
+/* Has callers of all zones use the routes. Fails with TASK_ERROR. */
+bool soak_fleet_start_callers(struct soak_fleet *fleet, GError **error)
+{
+	for (uint32_t i = 0; i < SOAK_CALLER_COUNT; i++) {
+		if (!start_caller(fleet, i, error))
+			return false;
+	}
+	soak_routes_start_callers(fleet->routes, fleet->callers,
+				  SOAK_CALLER_COUNT);
+	return true;
+}
+
+/* Has the callers close their flows and open no more. */
+void soak_fleet_finish_callers(struct soak_fleet *fleet)
+{
+	for (uint32_t i = 0; i < SOAK_CALLER_COUNT; i++)
+		fake_caller_finish(fleet->callers[i]);
+}
--- /dev/null
+++ b/soak/src/soak_hosts.h
@@ -0,0 +1,40 @@
+#ifndef SOAK_HOSTS_H
+#define SOAK_HOSTS_H
+
+#include "judge_task.h"
+#include "soak_steps.h"
+
+#include <fakes/fake_kv.h>
+#include <fakes/wrong_node.h>
+
+/* The hosts of a run: they start, leave, crash, and come back. */
+struct soak_hosts;
+
+/* wrong, if any, is told of each host as a node learns of it. */
+struct soak_hosts_options {
+	uint32_t service_count;
+	uint32_t hosts_per_service;
+	uint32_t answer_ms;
+	bool is_running_repeats;
+	struct fake_kv *kv;
+	struct judge_task *judge;
+	struct soak_steps *steps;
+	struct wrong_node *wrong;
+};
+
+struct soak_hosts *soak_hosts_new(const struct soak_hosts_options *options,
+				  GError **error);
+void soak_hosts_free(struct soak_hosts *hosts);
+void soak_hosts_replace(struct soak_hosts *hosts, uint32_t subject,
+			int64_t now_ms);
+void soak_hosts_crash(struct soak_hosts *hosts, uint32_t subject,
+		      uint32_t duration_ms, int64_t now_ms);
+void soak_hosts_reuse_address(struct soak_hosts *hosts, uint32_t subject,
+			      int64_t now_ms);
+void soak_hosts_lapse(struct soak_hosts *hosts);
+void soak_hosts_enter_again(struct soak_hosts *hosts);
+const char *soak_hosts_service_name(uint32_t service, char *name);
+
+#define SOAK_SERVICE_NAME_BYTES 16
+
+#endif
--- /dev/null
+++ b/soak/src/soak_routes.h
@@ -0,0 +1,28 @@
+#ifndef SOAK_ROUTES_H
+#define SOAK_ROUTES_H
+
+#include "judge_task.h"
+
+#include <fakes/fake_caller.h>
+#include <fakes/fake_kv.h>
+#include <fakes/wrong_node.h>
+
+/* The configuration of a run, as its operator writes it to the store. */
+struct soak_routes;
+
+struct soak_routes_options {
+	uint32_t service_count;
+	struct fake_kv *kv;
+	struct judge_task *judge;
+	struct wrong_node *wrong;
+};
+
+struct soak_routes *soak_routes_new(const struct soak_routes_options *options);
+void soak_routes_free(struct soak_routes *routes);
+void soak_routes_start_callers(struct soak_routes *routes,
+			       struct fake_caller **callers, uint32_t count);
+void soak_routes_add(struct soak_routes *routes, uint32_t subject);
+void soak_routes_remove(struct soak_routes *routes, uint32_t subject);
+void soak_routes_move(struct soak_routes *routes, uint32_t subject);
+
+#endif
--- /dev/null
+++ b/soak/src/soak_rule.c
@@ -0,0 +1,21 @@
+#include <soak/soak_rule.h>
+
+static const char *const names[] = {
+	[SOAK_RULE_SERVICE] = "service",
+	[SOAK_RULE_DRAIN] = "drain",
+	[SOAK_RULE_CONFIG] = "config",
+	[SOAK_RULE_GOES_BACK] = "goes-back",
+	[SOAK_RULE_FLOW_RESET] = "flow-reset",
+	[SOAK_RULE_FLOW_MOVED] = "flow-moved",
+	[SOAK_RULE_CHANGED] = "changed",
+	[SOAK_RULE_RUN_TWICE] = "run-twice",
+	[SOAK_RULE_CALM_FAILURE] = "calm-failure",
+	[SOAK_RULE_RECOVERY] = "recovery",
+	[SOAK_RULE_PROCESS] = "process",
+};
+
+/* Returns the name of a rule as reports print it. */
+const char *soak_rule_name(enum soak_rule rule)
+{
+	return names[rule];
+}
--- /dev/null
+++ b/soak/src/soak_run.c
@@ -0,0 +1,150 @@
+#include <soak/soak_run.h>
+
+#include "soak_fleet.h"
+#include "soak_inject.h"
+#include "soak_report.h"
+
+#include <soak/soak_error.h>
+#include <task/task.h>
+
+#define POLL_US 10000
+#define MS_PER_S 1000
+/*
+ * After the last fault: the time in which all must be served again, the 4 s in
+ * which changes are in force, and some seconds to count in.
+ */
+#define RECOVERY_MS 5000
+#define QUIET_MS 4000
+/* Time for flows to close with their next answer. */
+#define FINISH_MS 2000
+
+/* A run under way. */
+struct run {
+	struct soak_fleet *fleet;
+	const struct soak_schedule *schedule;
+	int64_t start_ms;
+};
+
+static void begin_fault(void *context, uint32_t subject, int64_t now_ms)
+{
+	struct run *run = context;
+
+	soak_inject_begin(run->fleet, soak_schedule_at(run->schedule, subject),
+			  now_ms);
+}
+
+static void end_fault(void *context, uint32_t subject, int64_t now_ms)
+{
+	struct run *run = context;
+
+	soak_inject_end(run->fleet, soak_schedule_at(run->schedule, subject),
+			now_ms);
+}
+
+static void plan(struct run *run)
+{
+	for (uint32_t i = 0; i < soak_schedule_count(run->schedule); i++) {
+		const struct soak_fault *fault =
+			soak_schedule_at(run->schedule, i);
+		struct soak_step begin = {run->start_ms + fault->at_ms, run, i,
+					  begin_fault};
+		struct soak_step end = {begin.due_ms + fault->duration_ms, run,
+					i, end_fault};
+
+		soak_steps_add(run->fleet->steps, &begin);
+		soak_steps_add(run->fleet->steps, &end);
+	}
+}
+
+static bool is_stopped(const struct run *run)
+{
+	const volatile sig_atomic_t *flag = run->fleet->options.is_stopped;
+
+	return flag && *flag;
+}
+
+static void run_until(struct run *run, int64_t end_ms)
+{
+	int64_t sample_ms = task_now_ms();
+
+	while (task_now_ms() < end_ms && !is_stopped(run)) {
+		soak_steps_run(run->fleet->steps, task_now_ms());
+		soak_nodes_reap(run->fleet->nodes, task_now_ms());
+		if (task_now_ms() >= sample_ms) {
+			soak_nodes_sample(run->fleet->nodes, task_now_ms());
+			sample_ms += MS_PER_S;
+		}
+		g_usleep(POLL_US);
+	}
+}
+
+static void fill_result(struct soak_result *result,
+			const struct soak_fleet *fleet,
+			const struct soak_tally *tally)
+{
+	struct process_usage peak = soak_nodes_peak(fleet->nodes);
+
+	result->broken_sum = soak_tally_broken_sum(tally);
+	for (int i = 0; i < SOAK_RULE_COUNT; i++)
+		result->broken_counts[i] =
+			soak_tally_broken_count(tally, (enum soak_rule)i);
+	for (uint32_t i = 0; i < soak_tally_second_count(tally); i++) {
+		struct soak_second second = soak_tally_second(tally, i);
+
+		result->answered_count += second.answered_count;
+		result->failed_count += second.failed_count;
+	}
+	result->memory_kb = peak.memory_kb;
+	result->descriptor_count = peak.descriptor_count;
+	result->thread_count = peak.thread_count;
+}
+
+static bool play(struct run *run, struct soak_result *result, GError **error)
+{
+	struct soak_fleet *fleet = run->fleet;
+	struct soak_fact quiet = {.kind = SOAK_QUIET, .is_planned = true};
+	struct soak_judge *judge;
+
+	run->start_ms = task_now_ms();
+	plan(run);
+	run_until(run, run->start_ms + soak_schedule_end_ms(run->schedule) +
+			       RECOVERY_MS);
+	quiet.at_ms = task_now_ms();
+	judge_task_fact(fleet->judge, &quiet);
+	run_until(run, quiet.at_ms + QUIET_MS);
+	soak_fleet_finish_callers(fleet);
+	run_until(run, quiet.at_ms + QUIET_MS + FINISH_MS);
+	if (is_stopped(run)) {
+		g_set_error(error, SOAK_ERROR, SOAK_ERROR_STOPPED,
+			    "stopped by a signal before the end");
+		return false;
+	}
+	soak_nodes_stop(fleet->nodes);
+	judge = judge_task_join(fleet->judge);
+	soak_judge_finish(judge, task_now_ms());
+	fill_result(result, fleet, soak_judge_tally(judge));
+	return soak_report_write(&fleet->options, run->schedule,
+				 soak_judge_tally(judge), error);
+}
+
+/*
+ * Runs a fleet through a schedule and judges it; a report is left in the
+ * directory. Fails with SOAK_ERROR, TASK_ERROR or a file error where there is
+ * no verdict.
+ */
+bool soak_run(const struct soak_options *options,
+	      const struct soak_schedule *schedule, struct soak_result *result,
+	      GError **error)
+{
+	struct run run = {.schedule = schedule};
+	bool is_played;
+
+	*result = (struct soak_result){0};
+	run.fleet = soak_fleet_new(options, error);
+	if (!run.fleet)
+		return false;
+	is_played = soak_fleet_start_callers(run.fleet, error) &&
+		    play(&run, result, error);
+	soak_fleet_free(run.fleet);
+	return is_played;
+}
--- /dev/null
+++ b/soak/src/soak_schedule.c
@@ -0,0 +1,188 @@
+#include <soak/soak_schedule.h>
+
+#include <soak/soak_error.h>
+#include <stdio.h>
+
+/* Calm before the first fault, so that what it costs can be told apart. */
+#define FIRST_MS 2000
+/* Faults come in series that overlap, with calm times between them. */
+#define SERIES_COUNT_MAX 5
+#define WITHIN_SERIES_MAX_MS 900
+#define BETWEEN_SERIES_MIN_MS 1000
+#define BETWEEN_SERIES_MAX_MS 9000
+#define KIND_BYTES 32
+
+struct soak_schedule {
+	GArray *faults;
+};
+
+static struct soak_schedule *schedule_new(void)
+{
+	struct soak_schedule *schedule = g_new0(struct soak_schedule, 1);
+
+	schedule->faults = g_array_new(FALSE, FALSE, sizeof(struct soak_fault));
+	return schedule;
+}
+
+/* Frees a schedule; NULL is allowed. */
+void soak_schedule_free(struct soak_schedule *schedule)
+{
+	if (!schedule)
+		return;
+	g_array_free(schedule->faults, TRUE);
+	g_free(schedule);
+}
+
+static enum soak_fault_kind draw_kind(GRand *rand)
+{
+	uint32_t sum = 0;
+	uint32_t drawn;
+
+	for (int i = 0; i < SOAK_FAULT_KIND_COUNT; i++)
+		sum += soak_fault_row((enum soak_fault_kind)i)->weight;
+	drawn = (uint32_t)g_rand_int_range(rand, 0, (gint32)sum);
+	for (int i = 0; i < SOAK_FAULT_KIND_COUNT; i++) {
+		uint32_t weight =
+			soak_fault_row((enum soak_fault_kind)i)->weight;
+
+		if (drawn < weight)
+			return (enum soak_fault_kind)i;
+		drawn -= weight;
+	}
+	return SOAK_NODE_KILL;
+}
+
+static struct soak_fault draw_fault(GRand *rand, uint32_t at_ms)
+{
+	enum soak_fault_kind kind = draw_kind(rand);
+	const struct soak_fault_row *row = soak_fault_row(kind);
+
+	return (struct soak_fault){
+		.at_ms = at_ms,
+		.kind = kind,
+		.subject = g_rand_int(rand) % 1000,
+		.duration_ms = (uint32_t)g_rand_int_range(
+			rand, (gint32)row->duration_min_ms,
+			(gint32)row->duration_max_ms + 1),
+	};
+}
+
+/* Draws a schedule; the caller frees it. */
+struct soak_schedule *soak_schedule_draw(uint64_t seed, uint32_t duration_ms)
+{
+	struct soak_schedule *schedule = schedule_new();
+	GRand *rand = g_rand_new_with_seed((guint32)seed);
+	uint32_t at_ms = FIRST_MS;
+
+	while (at_ms < duration_ms) {
+		int count = g_rand_int_range(rand, 1, SERIES_COUNT_MAX + 1);
+
+		for (int i = 0; i < count && at_ms < duration_ms; i++) {
+			struct soak_fault fault = draw_fault(rand, at_ms);
+
+			g_array_append_val(schedule->faults, fault);
+			at_ms += (uint32_t)g_rand_int_range(
+				rand, 0, WITHIN_SERIES_MAX_MS);
+		}
+		at_ms += (uint32_t)g_rand_int_range(rand, BETWEEN_SERIES_MIN_MS,
+						    BETWEEN_SERIES_MAX_MS);
+	}
+	g_rand_free(rand);
+	return schedule;
+}
+
+static bool parse_line(struct soak_fault *fault, const char *line)
+{
+	char kind[KIND_BYTES];
+
+	return sscanf(line, "%u %31s %u %u", &fault->at_ms, kind,
+		      &fault->subject, &fault->duration_ms) == 4 &&
+	       soak_fault_find(&fault->kind, kind);
+}
+
+/*
+ * Reads a schedule; lines that are empty or begin with # are passed over. The
+ * caller frees it. Fails with SOAK_ERROR_SCHEDULE.
+ */
+struct soak_schedule *soak_schedule_parse(const char *text, GError **error)
+{
+	struct soak_schedule *schedule = schedule_new();
+	char **lines = g_strsplit(text, "\n", -1);
+	bool is_read = true;
+
+	for (char **line = lines; is_read && *line; line++) {
+		struct soak_fault fault;
+
+		if (**line == '\0' || **line == '#')
+			continue;
+		is_read = parse_line(&fault, *line);
+		if (is_read)
+			g_array_append_val(schedule->faults, fault);
+		else
+			g_set_error(error, SOAK_ERROR, SOAK_ERROR_SCHEDULE,
+				    "schedule: expected TIME_MS KIND SUBJECT "
+				    "DURATION_MS, found \"%s\"",
+				    *line);
+	}
+	g_strfreev(lines);
+	if (is_read)
+		return schedule;
+	soak_schedule_free(schedule);
+	return NULL;
+}
+
+/* Copies a schedule but for count faults from first on; the caller frees it. */
+struct soak_schedule *soak_schedule_without(const struct soak_schedule *whole,
+					    uint32_t first, uint32_t count)
+{
+	struct soak_schedule *schedule = schedule_new();
+
+	for (uint32_t i = 0; i < whole->faults->len; i++) {
+		if (i >= first && i - first < count)
+			continue;
+		g_array_append_val(schedule->faults,
+				   *soak_schedule_at(whole, i));
+	}
+	return schedule;
+}
+
+/* Returns how many faults there are. */
+uint32_t soak_schedule_count(const struct soak_schedule *schedule)
+{
+	return schedule->faults->len;
+}
+
+/* Returns a fault by its place. */
+const struct soak_fault *soak_schedule_at(const struct soak_schedule *schedule,
+					  uint32_t index)
+{
+	return &g_array_index(schedule->faults, struct soak_fault, index);
+}
+
+/* Returns when the last fault ends. */
+uint32_t soak_schedule_end_ms(const struct soak_schedule *schedule)
+{
+	uint32_t end_ms = FIRST_MS;
+
+	for (uint32_t i = 0; i < schedule->faults->len; i++) {
+		const struct soak_fault *fault = soak_schedule_at(schedule, i);
+
+		end_ms = MAX(end_ms, fault->at_ms + fault->duration_ms);
+	}
+	return end_ms;
+}
+
+/* Returns the schedule as text; the caller frees it. */
+char *soak_schedule_text(const struct soak_schedule *schedule)
+{
+	GString *text = g_string_new(NULL);
+
+	for (uint32_t i = 0; i < schedule->faults->len; i++) {
+		const struct soak_fault *fault = soak_schedule_at(schedule, i);
+
+		g_string_append_printf(text, "%u %s %u %u\n", fault->at_ms,
+				       soak_fault_row(fault->kind)->name,
+				       fault->subject, fault->duration_ms);
+	}
+	return g_string_free(text, FALSE);
+}
--- /dev/null
+++ b/soak/src/soak_wrong.c
@@ -0,0 +1,51 @@
+#include <soak/soak_wrong.h>
+
+#include <glib.h>
+#include <string.h>
+
+static const struct soak_wrong rows[] = {
+	{"none", WRONG_NODE_NONE, false, SOAK_RULE_COUNT},
+	{"uses-draining", WRONG_NODE_USES_DRAINING, false, SOAK_RULE_DRAIN},
+	{"keeps-routes", WRONG_NODE_KEEPS_ROUTES, false, SOAK_RULE_CONFIG},
+	{"goes-back", WRONG_NODE_GOES_BACK, false, SOAK_RULE_GOES_BACK},
+	{"resets-open", WRONG_NODE_RESETS_OPEN, false, SOAK_RULE_FLOW_RESET},
+	{"changes-packets", WRONG_NODE_CHANGES_PACKETS, false,
+	 SOAK_RULE_CHANGED},
+	{"moves-flows", WRONG_NODE_MOVES_FLOWS, false, SOAK_RULE_CALM_FAILURE},
+	{"uses-any-service", WRONG_NODE_USES_ANY_SERVICE, false,
+	 SOAK_RULE_SERVICE},
+	{"refuses", WRONG_NODE_REFUSES, false, SOAK_RULE_CALM_FAILURE},
+	{"drops", WRONG_NODE_DROPS, false, SOAK_RULE_CALM_FAILURE},
+	{"host-runs-repeats", WRONG_NODE_NONE, true, SOAK_RULE_RUN_TWICE},
+};
+
+/* Finds a deliberate fault by name; NULL for another name. */
+const struct soak_wrong *soak_wrong_find(const char *name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		if (strcmp(rows[i].name, name) == 0)
+			return &rows[i];
+	}
+	return NULL;
+}
+
+/* Returns a deliberate fault by its place; NULL behind the last. */
+const struct soak_wrong *soak_wrong_at(uint32_t index)
+{
+	return index < G_N_ELEMENTS(rows) ? &rows[index] : NULL;
+}
+
+/*
+ * Returns the schedule, of planned changes alone, in which each of the faults
+ * shows: a host that leaves, and routes that go before others come.
+ */
+const char *soak_wrong_schedule(void)
+{
+	return "500 route-add 0 50\n"
+	       "600 route-add 1 50\n"
+	       "1000 host-replace 0 50\n"
+	       "2500 route-remove 0 50\n"
+	       "3000 route-add 2 50\n"
+	       "4000 host-replace 4 50\n"
+	       "10000 route-add 0 50\n";
+}
