Group core and daemon in folders by part

Cause: core held 130 files and daemon 114 in one flat folder each, so that a reader found a part by prefixes alone.

Change: core/src has base, claims, flows, members, relay, requests, rules and targets; daemon/src has claims, config, control, flows, node, relay and requests. A private header of another part is included by its folder. Public headers stay flat, as their prefixes and one include path are what users of the library see. Only includes and their order change in the files.

--- a/core/src/request_catalog.c
+++ b/core/src/requests/request_catalog.c
@@ -1,6 +1,6 @@
 #include "request_catalog.h"
 
-#include "target_states.h"
+#include "targets/target_states.h"
 
 #define POOL_NONE UINT32_MAX
 
--- a/core/src/target_rank.c
+++ b/core/src/targets/target_rank.c
@@ -1,7 +1,7 @@
 #define XXH_INLINE_ALL
 #include <core/target_rank.h>
 
-#include "log2_table.h"
+#include "flows/log2_table.h"
 
 #include <xxhash.h>
 
--- a/core/test/gossip_clock_test.c
+++ b/core/test/gossip_clock_test.c
@@ -1,4 +1,4 @@
-#include "gossip_clock.h"
+#include "rules/gossip_clock.h"
 
 #include <fakes/test_main.h>
 
--- a/daemon/src/config_platform.c
+++ b/daemon/src/config/config_platform.c
@@ -1,6 +1,6 @@
 #include "config_platform.h"
 
-#include "zone_reporter.h"
+#include "control/zone_reporter.h"
 
 #include <platform/platform_key.h>
 #include <platform/target_entry.h>
--- a/daemon/src/config_platform.h
+++ b/daemon/src/config/config_platform.h
@@ -1,8 +1,8 @@
 #ifndef CONFIG_PLATFORM_H
 #define CONFIG_PLATFORM_H
 
+#include "claims/roster_keeper.h"
 #include "config_store.h"
-#include "roster_keeper.h"
 
 #include <daemon/settings.h>
 
--- a/daemon/src/config_task.c
+++ b/daemon/src/config/config_task.c
@@ -3,7 +3,7 @@
 #include "config_counters.h"
 #include "config_platform.h"
 #include "config_publisher.h"
-#include "target_watch.h"
+#include "requests/target_watch.h"
 
 #include <core/node_feature.h>
 #include <core/rules_gossip.h>
--- a/daemon/test/roster_keeper_test.c
+++ b/daemon/test/roster_keeper_test.c
@@ -1,4 +1,4 @@
-#include "roster_keeper.h"
+#include "claims/roster_keeper.h"
 
 #include <fakes/fake_kv.h>
 #include <fakes/test_main.h>
--- a/daemon/test/target_watch_test.c
+++ b/daemon/test/target_watch_test.c
@@ -1,4 +1,4 @@
-#include "target_watch.h"
+#include "requests/target_watch.h"
 
 #include <core/rule.h>
 #include <fakes/test_main.h>
--- a/daemon/test/zone_reporter_test.c
+++ b/daemon/test/zone_reporter_test.c
@@ -1,4 +1,4 @@
-#include "zone_reporter.h"
+#include "control/zone_reporter.h"
 
 #include <fakes/fake_kv.h>
 #include <fakes/test_main.h>
