Let a joining node learn from a home that spoke before the view named it

Cause: daemon/flows_test failed once (three nodes that start at once): one of them stayed joining for 60 s, the time after which a slot no longer waits for its teacher. The log shows two nodes serving in the same second. The third saw A serve first, and its slots waited for A; B, which saw itself serve first, handed over the slots that it is home of before the third knew that B serves; and A, once it saw B, gave those slots to B. When the third saw B serve too, it did not change the teacher, since it had learned from "somebody", and went on waiting for A.

Ruled out: lost messages (the outbox sends until acknowledged, and A had no reason to send); load (the order of three messages decides, and a test with a virtual clock and that order fails every time).

Change: while a slot still waits, its teacher follows the home, and a home that has already spoken is not waited for.

Tests: flow_join_test feeds one director views and handovers in an order of its own. new-home-taught-before-the-view-names-it and home-that-has-not-taught-dies fail before the change.

--- a/core/src/flows/flow_homes.c
+++ b/core/src/flows/flow_homes.c
@@ -48,7 +48,10 @@
 	    slot->base_until_ms > change->now_ms)
 		return NODE_NONE;
 	if (!old || state_in(director->view, director->self_id) == NODE_JOINING)
-		return new->home != director->self_id ? new->home : NODE_NONE;
+		return new->home != director->self_id &&new->home !=
+				       slot->learned_from
+			       ? new->home
+			       : NODE_NONE;
 	if (old->home != director->self_id &&
 	    is_reachable(director->view, old->home))
 		return old->home;
@@ -65,14 +68,20 @@
 	slot->pending_since_ms = now_ms;
 }
 
-/* A node that joins learns from the home, also when that changes. */
+/*
+ * A node that joins learns from the home. When that changes before it has told
+ * all, it tells the next home instead, which may have spoken already.
+ */
 static bool has_other_teacher(const struct director_slot *slot,
 			      uint64_t self_id, enum node_state self,
 			      const struct slot_homes *old,
 			      const struct slot_homes *new)
 {
+	bool is_waiting = slot->learned_from == NODE_NONE ||
+			  slot->pending_from != NODE_NONE;
+
 	return self == NODE_JOINING && old && old->home != new->home &&
-	       old->home != self_id && slot->learned_from == NODE_NONE;
+	       old->home != self_id &&is_waiting;
 }
 
 static void learn(struct flow_director *director, struct director_slot *slot,
--- /dev/null
+++ b/core/test/flow_join_test.c
@@ -0,0 +1,183 @@
+/* What a node that joins must have been told before it is ready. */
+#include <core/flow_director.h>
+#include <core/flow_message.h>
+#include <core/home_map.h>
+#include <fakes/test_main.h>
+#include <glib.h>
+
+#define SELF_ID 1
+#define NODE_COUNT 3
+#define STEP_COUNT_MAX 8
+
+/* The other nodes, and the sets of them that serve, a bit each. */
+enum { NODE_A = 2, NODE_B = 3 };
+enum { NONE_SERVES = 0, A_SERVES = 1, B_SERVES = 2, BOTH_SERVE = 3 };
+
+enum verb {
+	END,
+	/* A new view: a says which of the others serve; the rest join. */
+	VIEW,
+	/* Node a hands over the slots it is home of while b serve. */
+	TEACHES,
+	IS_READY,
+	IS_NOT_READY,
+};
+
+struct step {
+	enum verb verb;
+	uint32_t a;
+	uint32_t b;
+};
+
+static const struct {
+	const char *name;
+	struct step steps[STEP_COUNT_MAX];
+} rows[] = {
+	{"one-teacher",
+	 {{VIEW, A_SERVES, 0},
+	  {IS_NOT_READY, 0, 0},
+	  {TEACHES, NODE_A, A_SERVES},
+	  {IS_READY, 0, 0}}},
+	{"two-teachers",
+	 {{VIEW, BOTH_SERVE, 0},
+	  {TEACHES, NODE_A, BOTH_SERVE},
+	  {IS_NOT_READY, 0, 0},
+	  {TEACHES, NODE_B, BOTH_SERVE},
+	  {IS_READY, 0, 0}}},
+	{"taught-before-the-view-says-who-serves",
+	 {{VIEW, NONE_SERVES, 0},
+	  {TEACHES, NODE_A, A_SERVES},
+	  {VIEW, A_SERVES, 0},
+	  {IS_READY, 0, 0}}},
+	{"home-changes-before-it-taught",
+	 {{VIEW, A_SERVES, 0},
+	  {VIEW, BOTH_SERVE, 0},
+	  {TEACHES, NODE_A, BOTH_SERVE},
+	  {IS_NOT_READY, 0, 0},
+	  {TEACHES, NODE_B, BOTH_SERVE},
+	  {IS_READY, 0, 0}}},
+	{"new-home-taught-before-the-view-names-it",
+	 {{VIEW, A_SERVES, 0},
+	  {TEACHES, NODE_B, B_SERVES},
+	  {IS_NOT_READY, 0, 0},
+	  {VIEW, BOTH_SERVE, 0},
+	  {IS_NOT_READY, 0, 0},
+	  {TEACHES, NODE_A, BOTH_SERVE},
+	  {IS_READY, 0, 0}}},
+	{"home-that-has-not-taught-dies",
+	 {{VIEW, BOTH_SERVE, 0},
+	  {TEACHES, NODE_A, A_SERVES},
+	  {VIEW, A_SERVES, 0},
+	  {IS_READY, 0, 0}}},
+};
+
+static struct node_view *view_of(uint32_t serving)
+{
+	static uint64_t version;
+	struct node nodes[NODE_COUNT] = {
+		{.node_id = SELF_ID}, {.node_id = NODE_A}, {.node_id = NODE_B}};
+
+	for (uint32_t i = 0; i < NODE_COUNT; i++) {
+		bool is_serving = i > 0 && (serving >> (i - 1) & 1);
+
+		nodes[i].zone_id = i;
+		nodes[i].state = is_serving ? NODE_SERVING : NODE_JOINING;
+	}
+	return node_view_new(SELF_ID, ++version, nodes, NODE_COUNT);
+}
+
+static void show(struct flow_director *director, uint32_t serving)
+{
+	struct node_view *view = view_of(serving);
+
+	flow_director_set_nodes(director, view, 0);
+	node_view_free(view);
+}
+
+static void send_done(struct flow_director *director, uint64_t from_node_id,
+		      struct flow_message *done)
+{
+	static uint32_t sequence;
+
+	if (done->slot_count == 0)
+		return;
+	done->sequence = ++sequence;
+	flow_director_message(director, from_node_id, done, 0);
+	done->slot_count = 0;
+}
+
+static void teach(struct flow_director *director, uint64_t from_node_id,
+		  uint32_t serving)
+{
+	struct node_view *view = view_of(serving);
+	struct home_map *homes = home_map_new(view);
+	struct flow_message done = {
+		.kind = FLOW_DONE, .revision = 1, .base_revision = 1};
+
+	for (uint32_t i = 0; i < HOME_SLOT_COUNT; i++) {
+		const struct slot_homes *slot = home_map_at(homes, (uint16_t)i);
+
+		if (slot->home != from_node_id || slot->next_home != SELF_ID)
+			continue;
+		done.slots[done.slot_count++] = (uint16_t)i;
+		if (done.slot_count == FLOW_MESSAGE_SLOTS_MAX)
+			send_done(director, from_node_id, &done);
+	}
+	send_done(director, from_node_id, &done);
+	home_map_free(homes);
+	node_view_free(view);
+}
+
+static void do_step(struct flow_director *director, const struct step *step)
+{
+	switch (step->verb) {
+	case VIEW:
+		show(director, step->a);
+		return;
+	case TEACHES:
+		teach(director, step->a, step->b);
+		return;
+	case IS_READY:
+	case IS_NOT_READY:
+		ck_assert_int_eq(flow_director_is_ready(director),
+				 step->verb == IS_READY);
+		return;
+	case END:
+		return;
+	}
+}
+
+static void drop_message(void *context, uint64_t to_node_id,
+			 const struct flow_message *message)
+{
+}
+
+START_TEST(test_join)
+{
+	struct flow_director_options options = {
+		.flow_capacity = 64,
+		.control_bytes_per_s = 100000,
+		.effects = {.send = drop_message},
+	};
+	struct flow_director *director = flow_director_new(&options);
+	struct rule_set *rules = rule_set_new(1);
+
+	test_row("flow_join", rows[_i].name);
+	flow_director_set_rules(director, rules, 0);
+	rule_set_free(rules);
+	for (const struct step *step = rows[_i].steps; step->verb != END;
+	     step++)
+		do_step(director, step);
+	flow_director_free(director);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("flow_join");
+	TCase *tcase = tcase_create("join");
+
+	tcase_add_loop_test(tcase, test_join, 0, G_N_ELEMENTS(rows));
+	suite_add_tcase(suite, tcase);
+	return test_main(suite);
+}
