Count forwarding times, ages of news, store calls and gaps in histograms

Cause: the only histogram was the time to a target's first sign. Nothing told how long a packet stays in a node, how old the configuration and directory are when flows are decided, how long the store takes, or whether news between nodes slow down.

Change: relay_times (forward_us, answer_ms, news_age_ms, report_gap_ms) and feed_times (store_call_ms, news_gap_ms), each a table of rows over the one histogram type, whose bounds serve both units. kv_client reports the time of each call to whoever asks for it.

Ruled out: the one-way delay of messages between nodes, which needs a common clock; gaps between reports and between answers show the same trouble. A library: Debian 12 serves HdrHistogram for Java and Go only.

Tests: five rows of relay_node_test, each waits until a histogram of a real node has counted; they fail before the change for want of the name.

--- a/daemon/include/daemon/metrics_message.h
+++ b/daemon/include/daemon/metrics_message.h
@@ -28,6 +28,7 @@
 			    const struct counter_set *counters);
 void metrics_request_answer_timed(struct message *request,
 				  const struct counter_set *counters,
-				  const struct histogram *histogram);
+				  struct histogram *const *histograms,
+				  uint32_t histogram_count);
 
 #endif
--- a/daemon/src/relay/feed_follow.c
+++ b/daemon/src/relay/feed_follow.c
@@ -96,11 +96,30 @@
 		  "revision=%" PRId64, reply->store_revision);
 }
 
+/* Counts how long a call to the store took. */
+void feed_follow_call_ended(void *context, uint32_t duration_ms)
+{
+	struct feed_task *feed = context;
+
+	feed_times_add(feed->times, FEED_TIME_STORE_CALL, duration_ms);
+}
+
+static void note_gap(struct feed_task *feed)
+{
+	int64_t now_ms = task_now_ms();
+
+	if (feed->current_ms != 0)
+		feed_times_add(feed->times, FEED_TIME_NEWS_GAP,
+			       now_ms - feed->current_ms);
+	feed->current_ms = now_ms;
+}
+
 static void on_answer(void *context)
 {
 	struct feed_task *feed = context;
 
 	feed->has_answered = true;
+	note_gap(feed);
 	relay_sources_worked(feed->sources);
 	set_live(feed, true);
 }
@@ -195,6 +214,7 @@
 				    ? 0
 				    : kv_mirror_revision(feed->mirror),
 		.may_be_stale = !feed->has_read,
+		.timing = {feed, feed_follow_call_ended},
 		.context = feed,
 		.on_whole = on_whole,
 		.on_changes = on_changes,
--- a/daemon/src/relay/feed_reader.c
+++ b/daemon/src/relay/feed_reader.c
@@ -143,6 +143,9 @@
 		.timeout_ms = timings[options->source.kind].read_timeout_ms,
 	};
 
+	if (is_store)
+		client.timing = options->timing;
+
 	reader->options = *options;
 	reader->client = kv_client_new(&client, error);
 	if (reader->client && start(reader, error))
--- a/daemon/src/relay/feed_reader.h
+++ b/daemon/src/relay/feed_reader.h
@@ -24,6 +24,8 @@
 	struct endpoint store;
 	int64_t revision;
 	bool may_be_stale;
+	/* Of calls to the store itself. */
+	struct kv_timing timing;
 	void *context;
 	void (*on_whole)(void *context, const struct kv_reply *reply);
 	void (*on_changes)(void *context, const struct kv_reply *reply);
--- a/daemon/src/relay/feed_task.c
+++ b/daemon/src/relay/feed_task.c
@@ -54,6 +54,7 @@
 		.base = task_base(feed->task),
 		.server = feed->options.settings->platform.store,
 		.timeout_ms = WRITE_TIMEOUT_MS,
+		.timing = {feed, feed_follow_call_ended},
 	};
 
 	feed->client = kv_client_new(&options, error);
@@ -125,7 +126,9 @@
 	struct feed_task *feed = context;
 
 	if (message->type == &metrics_request_type)
-		metrics_request_answer(message, feed->counters);
+		metrics_request_answer_timed(message, feed->counters,
+					     feed_times_all(feed->times),
+					     FEED_TIME_COUNT);
 	else if (message->type == &drain_message_type)
 		drain(feed, message);
 	else if (message->type == &stranger_message_type)
@@ -176,6 +179,7 @@
 	feed->options = *options;
 	feed->log = log_new(&log_options);
 	feed->counters = feed_counters_new();
+	feed->times = feed_times_new();
 	feed->random = g_rand_new();
 	feed->is_whole_needed = true;
 	feed->task = task_new(&task_options, error);
@@ -192,6 +196,7 @@
 		return;
 	task_free(feed->task);
 	counter_set_free(feed->counters);
+	feed_times_free(feed->times);
 	log_free(feed->log);
 	g_rand_free(feed->random);
 	g_free(feed);
--- a/daemon/src/relay/feed_task_state.h
+++ b/daemon/src/relay/feed_task_state.h
@@ -5,6 +5,7 @@
 
 #include "feed_counters.h"
 #include "feed_reader.h"
+#include "feed_times.h"
 #include "node_entry.h"
 
 #include <core/relay_sources.h>
@@ -21,6 +22,7 @@
 	struct task *task;
 	struct log *log;
 	struct counter_set *counters;
+	struct feed_times *times;
 	struct kv_client *client;
 	struct kv_mirror *mirror;
 	struct node_entry *entry;
@@ -32,6 +34,8 @@
 	GRand *random;
 	uint64_t ended_call_count;
 	int64_t source_ms;
+	/* When the copy was last shown to be current, 0 for never. */
+	int64_t current_ms;
 	bool is_live;
 	bool is_whole_needed;
 	bool has_answered;
@@ -42,6 +46,7 @@
 void feed_follow_end(struct feed_task *feed);
 void feed_follow_tick(struct feed_task *feed);
 bool feed_follow_is_direct(const struct feed_task *feed);
+void feed_follow_call_ended(void *context, uint32_t duration_ms);
 uint64_t feed_follow_call_count(const struct feed_task *feed);
 
 #endif
--- a/daemon/src/relay/relay_peers.c
+++ b/daemon/src/relay/relay_peers.c
@@ -42,6 +42,8 @@
 	struct relay_peers_options options;
 	struct udp_socket *socket;
 	GArray *list;
+	/* When each listed node's last report came. */
+	GHashTable *heard_ms;
 	uint64_t self_id;
 	uint32_t zone_id;
 	struct audience zone;
@@ -67,11 +69,28 @@
 	return false;
 }
 
+static void note_gap(struct relay_peers *peers, uint64_t node_id)
+{
+	int64_t now_ms = task_now_ms();
+	int64_t *heard_ms = g_hash_table_lookup(peers->heard_ms, &node_id);
+
+	if (heard_ms) {
+		relay_times_add(peers->options.times, RELAY_TIME_REPORT_GAP,
+				now_ms - *heard_ms);
+		*heard_ms = now_ms;
+		return;
+	}
+	g_hash_table_insert(peers->heard_ms,
+			    g_memdup2(&node_id, sizeof(node_id)),
+			    g_memdup2(&now_ms, sizeof(now_ms)));
+}
+
 static void take(struct relay_peers *peers, const struct relay_message *message)
 {
 	struct relay_director *director = peers->options.director;
 
 	if (message->kind == RELAY_MESSAGE_LOADS) {
+		note_gap(peers, message->node_id);
 		relay_loads_take(relay_director_loads(director),
 				 message->node_id, message->loads,
 				 message->load_count, task_now_ms());
@@ -195,6 +214,8 @@
 
 	peers->options = *options;
 	peers->list = g_array_new(FALSE, TRUE, sizeof(struct relay_peer));
+	peers->heard_ms = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						g_free, g_free);
 	peers->self_id = relay_peer_id_from_name(settings->node_name);
 	peers->zone_id = zone_id_from_name(settings->zone);
 	peers->zone = (struct audience){
@@ -222,14 +243,28 @@
 		return;
 	udp_socket_free(peers->socket);
 	g_array_free(peers->list, TRUE);
+	g_hash_table_destroy(peers->heard_ms);
 	g_free(peers);
 }
 
+static gboolean is_unlisted(gpointer node_id, gpointer heard_ms, gpointer data)
+{
+	const GArray *list = data;
+
+	for (guint i = 0; i < list->len; i++) {
+		if (g_array_index(list, struct relay_peer, i).node_id ==
+		    *(const uint64_t *)node_id)
+			return FALSE;
+	}
+	return TRUE;
+}
+
 /* Takes the nodes that the store lists, struct relay_peer. */
 void relay_peers_set(struct relay_peers *peers, const GArray *list)
 {
 	g_array_set_size(peers->list, 0);
 	g_array_append_vals(peers->list, list->data, list->len);
+	g_hash_table_foreach_remove(peers->heard_ms, is_unlisted, peers->list);
 	counter_set_assign(peers->options.counters, RELAY_PEERS, list->len);
 }
 
--- a/daemon/src/relay/relay_peers.h
+++ b/daemon/src/relay/relay_peers.h
@@ -2,6 +2,7 @@
 #define RELAY_PEERS_H
 
 #include "relay_counters.h"
+#include "relay_times.h"
 
 #include <core/relay_director.h>
 #include <core/relay_peer.h>
@@ -19,6 +20,7 @@
 	const struct settings *settings;
 	struct relay_director *director;
 	struct counter_set *counters;
+	struct relay_times *times;
 	void *context;
 	void (*on_stranger)(void *context, const struct endpoint *from);
 };
--- a/daemon/src/relay/relay_task.c
+++ b/daemon/src/relay/relay_task.c
@@ -1,12 +1,6 @@
-#include <daemon/relay_task.h>
+#include "relay_task_state.h"
 
-#include "held_packets.h"
-#include "relay_counters.h"
-#include "relay_drain.h"
-#include "relay_log.h"
 #include "relay_news.h"
-#include "relay_peers.h"
-#include "relay_sender.h"
 
 #include <core/zone.h>
 #include <daemon/drain_message.h>
@@ -15,8 +9,6 @@
 #include <daemon/news_message.h>
 #include <daemon/ready_message.h>
 #include <daemon/stranger_message.h>
-#include <platform/echo_packet.h>
-#include <task/timer.h>
 #include <unistd.h>
 
 #define MAILBOX_CAPACITY 1024
@@ -24,156 +16,6 @@
 /* Reports and forgetting need no finer clock; second tries have their own. */
 #define TICK_MS 25
 
-struct relay_task {
-	struct task *task;
-	const struct settings *settings;
-	struct task *admin;
-	struct task *feed;
-	struct relay_sender *sender;
-	struct timer *tick_timer;
-	struct timer *retry_timer;
-	struct relay_director *director;
-	struct relay_peers *peers;
-	struct relay_counters *counters;
-	struct histogram *answer_times;
-	struct held_packets *held;
-	struct log *log;
-	struct relay_drain drain;
-	int64_t packet_ms;
-	int64_t news_ms;
-	int64_t retry_ms;
-	bool is_ready;
-};
-
-static struct counter_set *counters_of(struct relay_task *relay)
-{
-	return relay_counters_set(relay->counters);
-}
-
-static struct relay_log_state log_state(const struct relay_task *relay,
-					int64_t now_ms)
-{
-	return (struct relay_log_state){
-		.version = relay_director_version(relay->director),
-		.news_age_ms = now_ms - relay->news_ms,
-	};
-}
-
-static void arm_retry(struct relay_task *relay, int64_t due_ms, int64_t now_ms)
-{
-	if (due_ms >= relay->retry_ms)
-		return;
-	relay->retry_ms = due_ms;
-	timer_once(relay->retry_timer, (uint32_t)MAX(due_ms - now_ms, 1));
-}
-
-static void carry_out(struct relay_task *relay,
-		      const struct relay_packet *packet,
-		      const struct relay_verdict *verdict, const uint8_t *bytes,
-		      uint32_t length_bytes)
-{
-	switch (verdict->action) {
-	case RELAY_FORWARD:
-		relay_sender_forward(relay->sender, verdict, bytes,
-				     length_bytes);
-		break;
-	case RELAY_RESET:
-		relay_sender_reset(relay->sender, packet);
-		break;
-	case RELAY_HOLD:
-		if (!held_packets_add(relay->held, bytes, length_bytes))
-			relay_sender_reset(relay->sender, packet);
-		break;
-	case RELAY_DROP:
-		break;
-	}
-}
-
-static void take_packet(void *context, const uint8_t *bytes,
-			uint32_t length_bytes)
-{
-	struct relay_task *relay = context;
-	int64_t now_ms = task_now_ms();
-	struct relay_log_state state = log_state(relay, now_ms);
-	struct relay_packet packet;
-	struct relay_verdict verdict;
-
-	if (!echo_packet_parse(&packet, bytes, length_bytes)) {
-		verdict = (struct relay_verdict){.action = RELAY_DROP,
-						 .reason = REASON_MALFORMED};
-		relay_counters_verdict(relay->counters, &verdict);
-		return;
-	}
-	verdict = relay_director_packet(relay->director, &packet, bytes,
-					length_bytes, now_ms);
-	relay_counters_verdict(relay->counters, &verdict);
-	if (verdict.is_answered)
-		histogram_add(relay->answer_times, verdict.answer_ms);
-	relay_log_packet(relay->log, &packet, &verdict, &state, bytes,
-			 length_bytes);
-	carry_out(relay, &packet, &verdict, bytes, length_bytes);
-	if (packet.is_opening)
-		arm_retry(relay, relay_director_tick(relay->director, now_ms),
-			  now_ms);
-}
-
-static void on_packet(void *context, const struct endpoint *from,
-		      const uint8_t *bytes, uint32_t length_bytes)
-{
-	struct relay_task *relay = context;
-
-	counter_set_add(counters_of(relay), RELAY_PACKETS, 1);
-	relay->packet_ms = task_now_ms();
-	take_packet(relay, bytes, length_bytes);
-}
-
-/* Decides anew on what was held, once the start is over. */
-static void release_held(struct relay_task *relay)
-{
-	if (held_packets_is_empty(relay->held) ||
-	    relay_director_is_starting(relay->director, task_now_ms()))
-		return;
-	held_packets_release(relay->held, relay, take_packet);
-}
-
-static void on_forward_again(void *context, const struct relay_verdict *verdict,
-			     const uint8_t *bytes, uint32_t length_bytes)
-{
-	struct relay_task *relay = context;
-	struct relay_log_state state = log_state(relay, task_now_ms());
-	struct relay_packet packet;
-
-	relay_counters_verdict(relay->counters, verdict);
-	if (echo_packet_parse(&packet, bytes, length_bytes))
-		relay_log_verdict(relay->log, &packet, verdict, &state);
-	relay_sender_forward(relay->sender, verdict, bytes, length_bytes);
-}
-
-static void on_flow_moved(void *context, struct flow_print print)
-{
-	struct relay_task *relay = context;
-
-	relay_peers_flow_moved(relay->peers, print);
-}
-
-static void on_health_changed(void *context, uint64_t target_id,
-			      uint32_t zone_id)
-{
-	struct relay_task *relay = context;
-
-	counter_set_add(counters_of(relay), RELAY_AVOIDED, 1);
-	relay_log_avoided(relay->log, target_id, zone_id);
-}
-
-static void on_retry(void *context)
-{
-	struct relay_task *relay = context;
-	int64_t now_ms = task_now_ms();
-
-	relay->retry_ms = INT64_MAX;
-	arm_retry(relay, relay_director_tick(relay->director, now_ms), now_ms);
-}
-
 /* A node that has nothing to go by is left out by the routers. */
 static void report_ready(struct relay_task *relay)
 {
@@ -200,7 +42,7 @@
 	relay_director_tick(relay->director, now_ms);
 	relay_peers_tick(relay->peers, now_ms);
 	report_ready(relay);
-	release_held(relay);
+	relay_forward_held(relay);
 	relay_drain_tick(&relay->drain, relay->task, relay->packet_ms, now_ms);
 }
 
@@ -218,14 +60,15 @@
 	struct relay_task *relay = context;
 	struct relay_sender_options options = {
 		.listen = relay->settings->listen_packets,
-		.counters = counters_of(relay),
+		.counters = relay_task_counters(relay),
 		.context = relay,
-		.receive = on_packet,
+		.receive = relay_forward_packet,
 	};
 	struct relay_peers_options peers = {
 		.settings = relay->settings,
 		.director = relay->director,
-		.counters = counters_of(relay),
+		.counters = relay_task_counters(relay),
+		.times = relay->times,
 		.context = relay,
 		.on_stranger = on_stranger,
 	};
@@ -239,7 +82,7 @@
 		return false;
 	}
 	relay->tick_timer = timer_new(task, relay, on_tick);
-	relay->retry_timer = timer_new(task, relay, on_retry);
+	relay->retry_timer = timer_new(task, relay, relay_forward_retry);
 	timer_every(relay->tick_timer, TICK_MS);
 	return true;
 }
@@ -258,14 +101,15 @@
 	if (routes && relay_director_set_routes(relay->director, routes))
 		relay_log_routes(relay->log, routes, news->revision);
 	report_ready(relay);
-	release_held(relay);
+	relay_forward_held(relay);
 }
 
 static void take_metrics(struct relay_task *relay, struct message *message)
 {
 	relay_counters_gauges(relay->counters, relay->director);
-	metrics_request_answer_timed(message, counters_of(relay),
-				     relay->answer_times);
+	metrics_request_answer_timed(message, relay_task_counters(relay),
+				     relay_times_all(relay->times),
+				     RELAY_TIME_COUNT);
 }
 
 static void take_drain(struct relay_task *relay, struct message *message)
@@ -318,9 +162,9 @@
 		.random_seed = g_random_int(),
 		.start_ms = task_now_ms(),
 		.effects = {.context = relay,
-			    .forward_again = on_forward_again,
-			    .flow_moved = on_flow_moved,
-			    .health_changed = on_health_changed},
+			    .forward_again = relay_forward_again,
+			    .flow_moved = relay_forward_flow_moved,
+			    .health_changed = relay_forward_health_changed},
 	};
 
 	return relay_director_new(&options);
@@ -353,9 +197,7 @@
 	relay->settings = settings;
 	relay->retry_ms = INT64_MAX;
 	relay->counters = relay_counters_new();
-	relay->answer_times = histogram_new(
-		"shallot_relay_answer_ms",
-		"time from an opening packet to the target's first sign");
+	relay->times = relay_times_new();
 	relay->held = held_packets_new();
 	relay->log = log_new(&log_options);
 	relay->director = make_director(relay);
@@ -374,7 +216,7 @@
 	task_free(relay->task);
 	relay_director_free(relay->director);
 	relay_counters_free(relay->counters);
-	histogram_free(relay->answer_times);
+	relay_times_free(relay->times);
 	held_packets_free(relay->held);
 	log_free(relay->log);
 	g_free(relay);
--- /dev/null
+++ b/daemon/src/relay/relay_task_state.h
@@ -0,0 +1,55 @@
+#ifndef RELAY_TASK_STATE_H
+#define RELAY_TASK_STATE_H
+
+#include <daemon/relay_task.h>
+
+#include "held_packets.h"
+#include "relay_counters.h"
+#include "relay_drain.h"
+#include "relay_log.h"
+#include "relay_peers.h"
+#include "relay_sender.h"
+#include "relay_times.h"
+
+#include <task/timer.h>
+
+/* The state that the parts of a relay task share. */
+struct relay_task {
+	struct task *task;
+	const struct settings *settings;
+	struct task *admin;
+	struct task *feed;
+	struct relay_sender *sender;
+	struct timer *tick_timer;
+	struct timer *retry_timer;
+	struct relay_director *director;
+	struct relay_peers *peers;
+	struct relay_counters *counters;
+	struct relay_times *times;
+	struct held_packets *held;
+	struct log *log;
+	struct relay_drain drain;
+	int64_t packet_ms;
+	int64_t news_ms;
+	int64_t retry_ms;
+	bool is_ready;
+};
+
+static inline struct counter_set *
+relay_task_counters(const struct relay_task *relay)
+{
+	return relay_counters_set(relay->counters);
+}
+
+/* relay_forward.c: packets, and what the director does with them. */
+void relay_forward_packet(void *context, const struct endpoint *from,
+			  const uint8_t *bytes, uint32_t length_bytes);
+void relay_forward_held(struct relay_task *relay);
+void relay_forward_again(void *context, const struct relay_verdict *verdict,
+			 const uint8_t *bytes, uint32_t length_bytes);
+void relay_forward_flow_moved(void *context, struct flow_print print);
+void relay_forward_health_changed(void *context, uint64_t target_id,
+				  uint32_t zone_id);
+void relay_forward_retry(void *context);
+
+#endif
--- a/daemon/test/relay_node_test.c
+++ b/daemon/test/relay_node_test.c
@@ -214,6 +214,77 @@
 }
 END_TEST
 
+/* Reads all that the node's admin interface answers, up to its end. */
+static char *fetch_metrics(const struct fixture *fixture)
+{
+	static const char request[] = "GET /metrics HTTP/1.1\r\nHost: node\r\n"
+				      "Connection: close\r\n\r\n";
+	struct sockaddr_storage storage;
+	socklen_t length = sock_addr_from_endpoint(
+		&storage, &fixture->settings.listen_admin);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	GString *text = g_string_new(NULL);
+	char bytes[4096];
+	ssize_t length_bytes;
+
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&storage, length), 0);
+	ck_assert_int_gt(send(fd, request, strlen(request), 0), 0);
+	while ((length_bytes = recv(fd, bytes, sizeof(bytes), 0)) > 0)
+		g_string_append_len(text, bytes, length_bytes);
+	close(fd);
+	return g_string_free(text, FALSE);
+}
+
+static guint64 value_of(const char *metrics, const char *name)
+{
+	char *key = g_strdup_printf("\n%s ", name);
+	const char *found = strstr(metrics, key);
+	guint64 value = 0;
+
+	ck_assert_msg(found, "no metric %s", name);
+	value = g_ascii_strtoull(found + strlen(key), NULL, 10);
+	g_free(key);
+	return value;
+}
+
+/* What must have been counted once flows were opened and answered. */
+static const struct {
+	const char *name;
+	const char *metric;
+} counted[] = {
+	{"answer-times", "shallot_relay_answer_ms_count"},
+	{"forwarding-times", "shallot_relay_forward_us_count"},
+	{"age-of-news", "shallot_relay_news_age_ms_count"},
+	{"store-call-times", "shallot_feed_store_call_ms_count"},
+	{"gaps-between-news", "shallot_feed_news_gap_ms_count"},
+};
+
+START_TEST(test_histogram)
+{
+	struct fixture fixture;
+	int64_t end_ms = task_now_ms() + PATIENCE_MS;
+	guint64 count = 0;
+
+	test_row("relay_node", counted[_i].name);
+	setup(&fixture);
+	wait_until_forwarding(&fixture);
+	while (count == 0 && task_now_ms() < end_ms) {
+		char *metrics;
+
+		send_packet(&fixture, 2, FLAG_SYN, 443, 0,
+			    ECHO_PACKET_HEADER_BYTES);
+		send_packet(&fixture, 2, FLAG_ACK, 443, TARGET_ID,
+			    ECHO_PACKET_HEADER_BYTES);
+		g_usleep(100 * STEP_US);
+		metrics = fetch_metrics(&fixture);
+		count = value_of(metrics, counted[_i].metric);
+		g_free(metrics);
+	}
+	ck_assert_uint_gt(count, 0);
+	teardown(&fixture);
+}
+END_TEST
+
 static void on_drained(void *context, bool is_drained)
 {
 	atomic_store((atomic_int *)context, is_drained ? 1 : -1);
@@ -254,6 +325,7 @@
 	tcase_set_timeout(tcase, 60);
 	tcase_add_loop_test(tcase, test_packet, 0, G_N_ELEMENTS(rows));
 	tcase_add_test(tcase, test_leaving_target);
+	tcase_add_loop_test(tcase, test_histogram, 0, G_N_ELEMENTS(counted));
 	tcase_add_test(tcase, test_drain);
 	suite_add_tcase(suite, tcase);
 	return test_main(suite);
--- a/task/include/task/histogram.h
+++ b/task/include/task/histogram.h
@@ -5,14 +5,14 @@
 #include <stdint.h>
 
 /*
- * Times in milliseconds, counted in buckets of fixed bounds; only the task
- * that owns it changes it. Name and help must outlive it.
+ * Times, counted in buckets of fixed bounds, in the unit that the name ends
+ * with; only the task that owns it changes it. Name and help must outlive it.
  */
 struct histogram;
 
 struct histogram *histogram_new(const char *name, const char *help);
 void histogram_free(struct histogram *histogram);
-void histogram_add(struct histogram *histogram, uint32_t value_ms);
+void histogram_add(struct histogram *histogram, uint32_t value);
 void histogram_render(const struct histogram *histogram, GString *text);
 
 #endif
--- a/task/src/histogram.c
+++ b/task/src/histogram.c
@@ -2,18 +2,21 @@
 
 #include <inttypes.h>
 
-/* From a handshake within a zone to the longest timeout. */
-static const uint32_t bounds_ms[] = {1,	  2,   5,   10,	  20,	50,
-				     100, 200, 500, 1000, 2000, 5000};
+/*
+ * In milliseconds from a handshake within a zone to the longest timeout; in
+ * microseconds from a packet of a known flow to a few time slices.
+ */
+static const uint32_t bounds[] = {1,   2,   5,	 10,   20,   50,
+				  100, 200, 500, 1000, 2000, 5000};
 
-#define BOUND_COUNT G_N_ELEMENTS(bounds_ms)
+#define BOUND_COUNT G_N_ELEMENTS(bounds)
 
 /* The last bucket has no bound. */
 struct histogram {
 	const char *name;
 	const char *help;
 	uint64_t buckets[BOUND_COUNT + 1];
-	uint64_t sum_ms;
+	uint64_t sum;
 };
 
 /* Makes an empty histogram; free it with histogram_free. */
@@ -33,14 +36,14 @@
 }
 
 /* Counts one time. */
-void histogram_add(struct histogram *histogram, uint32_t value_ms)
+void histogram_add(struct histogram *histogram, uint32_t value)
 {
 	uint32_t bucket = 0;
 
-	while (bucket < BOUND_COUNT && value_ms > bounds_ms[bucket])
+	while (bucket < BOUND_COUNT && value > bounds[bucket])
 		bucket++;
 	histogram->buckets[bucket]++;
-	histogram->sum_ms += value_ms;
+	histogram->sum += value;
 }
 
 /* Appends it in the Prometheus text format, version 0.0.4. */
@@ -55,12 +58,11 @@
 		count += histogram->buckets[i];
 		g_string_append_printf(
 			text, "%s_bucket{le=\"%" PRIu32 "\"} %" PRIu64 "\n",
-			name, bounds_ms[i], count);
+			name, bounds[i], count);
 	}
 	count += histogram->buckets[BOUND_COUNT];
 	g_string_append_printf(text,
 			       "%s_bucket{le=\"+Inf\"} %" PRIu64
 			       "\n%s_sum %" PRIu64 "\n%s_count %" PRIu64 "\n",
-			       name, count, name, histogram->sum_ms, name,
-			       count);
+			       name, count, name, histogram->sum, name, count);
 }
