--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= $(shell nproc)
 DURATION_S ?= 15
 
-.PHONY: all deps demo check format lint test test-tsan clean
+.PHONY: all deps demo demo-home check format lint test test-tsan clean
 
 all: build/Makefile
 	cmake --build build -j$(JOBS)
@@ -16,7 +16,11 @@
 
 demo: deps
 	$(MAKE) all
-	scripts/demo $(DURATION_S)
+	scripts/demo
+
+demo-home: deps
+	$(MAKE) all
+	scripts/demo-home $(DURATION_S)
 
 check: deps
 	scripts/check
--- a/ctl/src/soak_arguments.c
+++ b/ctl/src/soak_arguments.c
@@ -27,6 +27,7 @@
 	{"hosts", required_argument, NULL, 'o'},
 	{"flows-per-s", required_argument, NULL, 'f'},
 	{"mod", no_argument, NULL, 'M'},
+	{"schedule", required_argument, NULL, 'c'},
 	{"replay", required_argument, NULL, 'r'},
 	{"wrong", required_argument, NULL, 'w'},
 	{"list-wrong", no_argument, NULL, LETTER_LIST},
@@ -48,6 +49,7 @@
 	"  --hosts N         hosts for each of three services (3)\n"
 	"  --flows-per-s N   flows that callers open (60)\n"
 	"  --mod             nearly all flows move with each node that joins\n"
+	"  --schedule FILE   run the faults of a schedule\n"
 	"  --replay FILE     run a schedule, and shorten it while it fails\n"
 	"  --wrong NAME      put a faulty stand-in beside the nodes; it must "
 	"be "
@@ -96,7 +98,7 @@
 {
 	g_free(arguments->program);
 	g_free(arguments->directory);
-	g_free(arguments->replay_path);
+	g_free(arguments->schedule_path);
 	g_free(arguments);
 }
 
@@ -130,8 +132,10 @@
 static bool read_path(struct soak_arguments *arguments, int letter)
 {
 	switch (letter) {
+	case 'c':
 	case 'r':
-		set_text(&arguments->replay_path, optarg);
+		set_text(&arguments->schedule_path, optarg);
+		arguments->is_replay = letter == 'r';
 		return true;
 	case 'd':
 		set_text(&arguments->directory, optarg);
--- a/ctl/src/soak_arguments.h
+++ b/ctl/src/soak_arguments.h
@@ -11,7 +11,8 @@
 	uint32_t duration_ms;
 	char *program;
 	char *directory;
-	char *replay_path;
+	char *schedule_path;
+	bool is_replay;
 	bool is_directory_given;
 };
 
--- a/ctl/src/soak_command.c
+++ b/ctl/src/soak_command.c
@@ -26,6 +26,27 @@
 	uint32_t try_count;
 };
 
+static void print_failures(const struct soak_result *result)
+{
+	for (int i = 0; i < END_EVENT_KIND_COUNT; i++) {
+		enum end_event_kind kind = (enum end_event_kind)i;
+
+		if (soak_event_is_failure(kind) && result->kind_counts[i] > 0)
+			printf("  %s: %" PRIu64 "\n", end_event_name(kind),
+			       result->kind_counts[i]);
+	}
+}
+
+static void print_broken(const struct soak_result *result)
+{
+	for (int i = 0; i < SOAK_RULE_COUNT; i++) {
+		if (result->broken_counts[i] > 0)
+			printf("  broken: %s: %u\n",
+			       soak_rule_name((enum soak_rule)i),
+			       result->broken_counts[i]);
+	}
+}
+
 static void print_result(const struct soak_arguments *arguments,
 			 const struct soak_result *result)
 {
@@ -33,11 +54,8 @@
 	       " failed, %u rules broken\n",
 	       arguments->options.seed, result->answered_count,
 	       result->failed_count, result->broken_sum);
-	for (int i = 0; i < SOAK_RULE_COUNT; i++) {
-		if (result->broken_counts[i] > 0)
-			printf("  %s: %u\n", soak_rule_name((enum soak_rule)i),
-			       result->broken_counts[i]);
-	}
+	print_failures(result);
+	print_broken(result);
 	printf("largest node: %u KB, %u descriptors, %u threads\n",
 	       result->memory_kb, result->descriptor_count,
 	       result->thread_count);
@@ -59,8 +77,8 @@
 static struct soak_schedule *
 make_schedule(const struct soak_arguments *arguments, GError **error)
 {
-	if (arguments->replay_path)
-		return read_schedule(arguments->replay_path, error);
+	if (arguments->schedule_path)
+		return read_schedule(arguments->schedule_path, error);
 	if (arguments->options.wrong)
 		return soak_schedule_parse(soak_wrong_schedule(), error);
 	return soak_schedule_draw(arguments->options.seed,
@@ -134,7 +152,7 @@
 	}
 	print_result(arguments, &result);
 	is_good = is_as_expected(arguments, &result);
-	if (!is_good && arguments->replay_path)
+	if (!is_good && arguments->is_replay)
 		shrink(arguments, schedule);
 	soak_schedule_free(schedule);
 	if (!is_good || arguments->is_directory_given)
--- a/soak/include/soak/soak_run.h
+++ b/soak/include/soak/soak_run.h
@@ -33,6 +33,7 @@
 	uint32_t broken_counts[SOAK_RULE_COUNT];
 	uint64_t answered_count;
 	uint64_t failed_count;
+	uint64_t kind_counts[END_EVENT_KIND_COUNT];
 	uint32_t memory_kb;
 	uint32_t descriptor_count;
 	uint32_t thread_count;
