--- a/ctl/src/flood_fleet.c
+++ b/ctl/src/flood_fleet.c
@@ -2,15 +2,12 @@
 
 #define OUTSIDE FLOOD_NODES_MAX
 #define HOP_MS 1
-#define CLAIMS_TICK_MS 25
 #define QUEUE_LIMIT 512
 #define REQUEST_LIMIT 4096
 #define CLAIM_LIFETIME_MS 10000
 #define CLAIM_LEASE_MS 2000
 #define BACKLOG_PER_SLOT 1
 #define PROXY_QUEUE_LIMIT 1000
-#define NOTICE_MS 2000
-#define AFTER_MS 12000
 
 static void deliver(void *context, uint32_t from, uint32_t to, void *message)
 {
@@ -335,106 +332,6 @@
 	g_free(fleet);
 }
 
-static void tick_nodes(struct flood_fleet *fleet, int64_t now_ms)
-{
-	for (uint32_t i = 0; i < fleet->options.node_count; i++) {
-		struct flood_node *node = &fleet->nodes[i];
-
-		if (node->is_dead || node->is_paused)
-			continue;
-		if (node->next_ms <= now_ms || now_ms % CLAIMS_TICK_MS == 0)
-			flood_node_tick(node, now_ms);
-	}
-}
-
-/* A node dies in the middle of the flood, and a target drains. */
-static void planned_events(struct flood_fleet *fleet, int64_t now_ms)
-{
-	int64_t middle_ms =
-		(fleet->options.flood_start_ms + fleet->options.end_ms) / 2;
-
-	if (!fleet->options.has_planned_events)
-		return;
-	if (now_ms == middle_ms)
-		flood_fleet_stop_node(fleet, 0);
-	if (now_ms == middle_ms + NOTICE_MS) {
-		flood_fleet_tell_node_count(fleet);
-		flood_fleet_publish_roster(fleet);
-		flood_fleet_tell_target(fleet, 0, TARGET_LEAVING);
-	}
-}
-
-/*
- * One target's health is reported wrongly time and again; the last is cold
- * when the flood begins.
- */
-static void liars(struct flood_fleet *fleet, int64_t now_ms)
-{
-	uint32_t last = fleet->options.target_count - 1;
-
-	if (!fleet->options.has_liars)
-		return;
-	if (now_ms % 2000 == 0)
-		flood_fleet_tell_target(fleet, 1, TARGET_FAILING);
-	if (now_ms % 2000 == 1000)
-		flood_fleet_tell_target(fleet, 1, TARGET_SERVING);
-	if (now_ms == fleet->options.flood_start_ms) {
-		fleet->targets[last].cold_jobs_left = 30;
-		flood_fleet_tell_target(fleet, last, TARGET_COLD);
-	}
-}
-
-static void measure_targets(struct flood_fleet *fleet, bool is_start)
-{
-	for (uint32_t i = 0; i < fleet->options.target_count; i++) {
-		uint64_t busy_ms = fleet->targets[i].busy_ms;
-
-		if (is_start)
-			fleet->tally.target_busy_ms[i] = busy_ms;
-		else
-			fleet->tally.target_busy_ms[i] =
-				busy_ms - fleet->tally.target_busy_ms[i];
-	}
-}
-
-static void measure_capacity(struct flood_fleet *fleet, int64_t now_ms)
-{
-	int64_t middle_ms =
-		(fleet->options.flood_start_ms + fleet->options.end_ms) / 2;
-	bool has_left = fleet->options.has_planned_events &&
-			now_ms >= middle_ms + NOTICE_MS;
-
-	if (now_ms >= fleet->options.flood_start_ms)
-		fleet->tally.capacity_work_ms +=
-			(fleet->options.target_count - (has_left ? 1 : 0)) *
-			fleet->options.slot_count;
-}
-
-/* Runs the fleet to its end, a millisecond at a time. */
-void flood_fleet_run(struct flood_fleet *fleet)
-{
-	int64_t now_ms;
-
-	for (now_ms = 1; now_ms <= fleet->options.end_ms; now_ms++) {
-		driver_run_until(fleet->driver, now_ms);
-		if (now_ms == fleet->options.flood_start_ms)
-			measure_targets(fleet, true);
-		planned_events(fleet, now_ms);
-		liars(fleet, now_ms);
-		if (fleet->options.has_chaos)
-			flood_chaos_beat(fleet, now_ms);
-		measure_capacity(fleet, now_ms);
-		flood_callers_beat(fleet, now_ms);
-		tick_nodes(fleet, now_ms);
-	}
-	measure_targets(fleet, false);
-	/* What is under way comes to its end, and is still watched. */
-	for (; now_ms <= fleet->options.end_ms + AFTER_MS; now_ms++) {
-		driver_run_until(fleet->driver, now_ms);
-		tick_nodes(fleet, now_ms);
-	}
-}
-
 /* Returns what the run counted; valid while the fleet is. */
 const struct flood_tally *flood_fleet_tally(const struct flood_fleet *fleet)
 {
--- /dev/null
+++ b/daemon/src/config/config_effects.c
@@ -0,0 +1,142 @@
+#include "config_task_state.h"
+
+#include <daemon/control_message.h>
+#include <inttypes.h>
+#include <wire/config_codec.h>
+#include <wire/config_report_codec.h>
+
+/* The rules in force have changed. */
+void config_on_changed(void *context, const struct rule_set *rules)
+{
+	struct config_task *config = context;
+
+	log_write(config->log, LOG_LEVEL_NOTICE, "rules",
+		  "revision=%" PRIu64 " rules=%u", rule_set_revision(rules),
+		  rule_set_count(rules));
+	config_publisher_set_rules(config->publisher, rules);
+	target_watch_set_rules(config->targets, rules);
+}
+
+/* A message for another node. */
+void config_on_send(void *context, uint64_t node_id,
+		    struct config_message *message)
+{
+	struct config_task *config = context;
+	GByteArray *bytes = config_codec_encode(message, NULL);
+	bool is_sent =
+		bytes && config_publisher_control(
+				 config->publisher, node_id,
+				 config_codec_procedure(message->kind), bytes);
+
+	counter_set_add(
+		config->counters,
+		is_sent ? CONFIG_MESSAGES_SENT : CONFIG_MESSAGES_NOT_SENT, 1);
+	if (is_sent)
+		counter_set_add(config->counters, CONFIG_BYTES_SENT,
+				bytes->len);
+	if (bytes)
+		g_byte_array_free(bytes, TRUE);
+	config_message_free(message);
+}
+
+/* The store is to be read whole. */
+void config_on_read_store(void *context)
+{
+	struct config_task *config = context;
+
+	config_store_read(config_platform_store(config->platform));
+}
+
+/* The store is to be watched, or no longer. */
+void config_on_watch_store(void *context, bool is_wanted)
+{
+	struct config_task *config = context;
+
+	config_store_watch(config_platform_store(config->platform), is_wanted);
+}
+
+/* The store lacks what the nodes hold. */
+void config_on_repair_store(void *context)
+{
+	struct config_task *config = context;
+
+	log_write(config->log, LOG_LEVEL_WARNING, "store_behind",
+		  "action=write_back");
+	counter_set_add(config->counters, CONFIG_STORE_REPAIRS, 1);
+	config_store_repair(
+		config_platform_store(config->platform),
+		rules_replica_document(rules_gossip_replica(config->gossip)));
+}
+
+/* The zone's state is to be written. */
+void config_on_report_zone(void *context)
+{
+	struct config_task *config = context;
+	GArray *reports = rules_gossip_reports(config->gossip);
+
+	config_platform_report(config->platform, config_report_encode(reports));
+	g_array_free(reports, TRUE);
+}
+
+/* The store was read. */
+void config_on_document(void *context, const struct rules_document *document)
+{
+	struct config_task *config = context;
+
+	rules_gossip_take_store(config->gossip, document, task_now_ms());
+	config_publisher_retry(config->publisher,
+			       rules_gossip_is_known(config->gossip));
+}
+
+/* A call to the store failed. */
+void config_on_store_failed(void *context, const char *reason)
+{
+	struct config_task *config = context;
+
+	counter_set_add(config->counters, CONFIG_STORE_FAILURES, 1);
+	log_write(config->log, LOG_LEVEL_WARNING, "store_failed",
+		  "reason=\"%s\"", reason);
+}
+
+/* The targets were listed. */
+void config_on_targets(void *context, const GArray *list, const GError *error)
+{
+	struct config_task *config = context;
+
+	if (list)
+		target_watch_take_list(config->targets, list);
+	else
+		log_write(config->log, LOG_LEVEL_WARNING, "targets_failed",
+			  "reason=\"%s\"", error->message);
+}
+
+/* A target's state has changed. */
+bool config_on_target_state(void *context, uint64_t target_id,
+			    enum target_state state)
+{
+	struct config_task *config = context;
+
+	log_write(config->log, LOG_LEVEL_NOTICE, "target",
+		  "target=%016" PRIx64 " state=%s", target_id,
+		  target_state_name(state));
+	return config_publisher_target(config->publisher, target_id, state);
+}
+
+/* The roster has changed here. */
+void config_on_roster_changed(void *context, const struct roster *roster)
+{
+	struct config_task *config = context;
+
+	log_write(config->log, LOG_LEVEL_NOTICE, "roster",
+		  "epoch=%" PRIu64 " members=%u", roster->epoch,
+		  roster->epochs[0].member_count);
+	config_publisher_roster(config->publisher, roster);
+}
+
+/* The store has a roster. */
+void config_on_stored_roster(void *context, const struct roster *roster)
+{
+	struct config_task *config = context;
+
+	rules_gossip_take_roster(config->gossip, roster, task_now_ms());
+}
--- a/daemon/src/config/config_task.c
+++ b/daemon/src/config/config_task.c
@@ -1,19 +1,11 @@
-#include <daemon/config_task.h>
-
-#include "config_counters.h"
-#include "config_platform.h"
-#include "config_publisher.h"
-#include "requests/target_watch.h"
+#include "config_task_state.h"
 
 #include <core/node_feature.h>
-#include <core/rules_gossip.h>
 #include <core/zone.h>
 #include <daemon/control_message.h>
 #include <daemon/metrics_message.h>
 #include <daemon/nodes_message.h>
 #include <inttypes.h>
-#include <task/log.h>
-#include <task/timer.h>
 #include <unistd.h>
 #include <wire/config_codec.h>
 #include <wire/config_report_codec.h>
@@ -26,146 +18,6 @@
 /* A node that has just started may not have heard of the last epoch. */
 #define ROSTER_START_MS 10000
 
-struct config_task {
-	struct config_task_options options;
-	const struct settings *settings;
-	struct task *task;
-	struct log *log;
-	struct counter_set *counters;
-	struct timer *tick_timer;
-	struct timer *target_timer;
-	struct config_platform *platform;
-	struct node_view *nodes;
-	struct target_watch *targets;
-	struct rules_gossip *gossip;
-	struct config_publisher *publisher;
-	int64_t start_ms;
-};
-
-static void on_changed(void *context, const struct rule_set *rules)
-{
-	struct config_task *config = context;
-
-	log_write(config->log, LOG_LEVEL_NOTICE, "rules",
-		  "revision=%" PRIu64 " rules=%u", rule_set_revision(rules),
-		  rule_set_count(rules));
-	config_publisher_set_rules(config->publisher, rules);
-	target_watch_set_rules(config->targets, rules);
-}
-
-static void on_send(void *context, uint64_t node_id,
-		    struct config_message *message)
-{
-	struct config_task *config = context;
-	GByteArray *bytes = config_codec_encode(message, NULL);
-	bool is_sent =
-		bytes && config_publisher_control(
-				 config->publisher, node_id,
-				 config_codec_procedure(message->kind), bytes);
-
-	counter_set_add(
-		config->counters,
-		is_sent ? CONFIG_MESSAGES_SENT : CONFIG_MESSAGES_NOT_SENT, 1);
-	if (is_sent)
-		counter_set_add(config->counters, CONFIG_BYTES_SENT,
-				bytes->len);
-	if (bytes)
-		g_byte_array_free(bytes, TRUE);
-	config_message_free(message);
-}
-
-static void on_read_store(void *context)
-{
-	struct config_task *config = context;
-
-	config_store_read(config_platform_store(config->platform));
-}
-
-static void on_watch_store(void *context, bool is_wanted)
-{
-	struct config_task *config = context;
-
-	config_store_watch(config_platform_store(config->platform), is_wanted);
-}
-
-static void on_repair_store(void *context)
-{
-	struct config_task *config = context;
-
-	log_write(config->log, LOG_LEVEL_WARNING, "store_behind",
-		  "action=write_back");
-	counter_set_add(config->counters, CONFIG_STORE_REPAIRS, 1);
-	config_store_repair(
-		config_platform_store(config->platform),
-		rules_replica_document(rules_gossip_replica(config->gossip)));
-}
-
-static void on_report_zone(void *context)
-{
-	struct config_task *config = context;
-	GArray *reports = rules_gossip_reports(config->gossip);
-
-	config_platform_report(config->platform, config_report_encode(reports));
-	g_array_free(reports, TRUE);
-}
-
-static void on_document(void *context, const struct rules_document *document)
-{
-	struct config_task *config = context;
-
-	rules_gossip_take_store(config->gossip, document, task_now_ms());
-	config_publisher_retry(config->publisher,
-			       rules_gossip_is_known(config->gossip));
-}
-
-static void on_store_failed(void *context, const char *reason)
-{
-	struct config_task *config = context;
-
-	counter_set_add(config->counters, CONFIG_STORE_FAILURES, 1);
-	log_write(config->log, LOG_LEVEL_WARNING, "store_failed",
-		  "reason=\"%s\"", reason);
-}
-
-static void on_targets(void *context, const GArray *list, const GError *error)
-{
-	struct config_task *config = context;
-
-	if (list)
-		target_watch_take_list(config->targets, list);
-	else
-		log_write(config->log, LOG_LEVEL_WARNING, "targets_failed",
-			  "reason=\"%s\"", error->message);
-}
-
-static bool on_target_state(void *context, uint64_t target_id,
-			    enum target_state state)
-{
-	struct config_task *config = context;
-
-	log_write(config->log, LOG_LEVEL_NOTICE, "target",
-		  "target=%016" PRIx64 " state=%s", target_id,
-		  target_state_name(state));
-	return config_publisher_target(config->publisher, target_id, state);
-}
-
-static void on_roster_changed(void *context, const struct roster *roster)
-{
-	struct config_task *config = context;
-
-	log_write(config->log, LOG_LEVEL_NOTICE, "roster",
-		  "epoch=%" PRIu64 " members=%u", roster->epoch,
-		  roster->epochs[0].member_count);
-	config_publisher_roster(config->publisher, roster);
-}
-
-static void on_stored_roster(void *context, const struct roster *roster)
-{
-	struct config_task *config = context;
-
-	rules_gossip_take_roster(config->gossip, roster, task_now_ms());
-}
-
 static void tick_platform(struct config_task *config, int64_t now_ms)
 {
 	struct roster_keeper_view view = {
@@ -206,10 +58,10 @@
 		.base = task_base(task),
 		.settings = config->settings,
 		.context = config,
-		.on_document = on_document,
-		.on_failed = on_store_failed,
-		.on_roster = on_stored_roster,
-		.on_targets = on_targets,
+		.on_document = config_on_document,
+		.on_failed = config_on_store_failed,
+		.on_roster = config_on_stored_roster,
+		.on_targets = config_on_targets,
 	};
 
 	config->platform = config_platform_new(&options, error);
@@ -218,8 +70,8 @@
 
 static void open_parts(struct config_task *config)
 {
-	struct target_watch_options options = {.context = config,
-					       .on_state = on_target_state};
+	struct target_watch_options options = {
+		.context = config, .on_state = config_on_target_state};
 
 	config->start_ms = task_now_ms();
 	config->publisher = config_publisher_new(&config->options);
@@ -242,13 +94,13 @@
 		.seed = (uint32_t)config->options.node_id,
 		.features = NODE_FEATURES,
 		.context = config,
-		.send = on_send,
-		.read_store = on_read_store,
-		.watch_store = on_watch_store,
-		.repair_store = on_repair_store,
-		.changed = on_changed,
-		.report_zone = on_report_zone,
-		.roster_changed = on_roster_changed,
+		.send = config_on_send,
+		.read_store = config_on_read_store,
+		.watch_store = config_on_watch_store,
+		.repair_store = config_on_repair_store,
+		.changed = config_on_changed,
+		.report_zone = config_on_report_zone,
+		.roster_changed = config_on_roster_changed,
 	};
 
 	config->gossip = rules_gossip_new(&options);
--- a/daemon/src/flows/packet_task.c
+++ b/daemon/src/flows/packet_task.c
@@ -1,8 +1,5 @@
-#include <daemon/packet_task.h>
+#include "packet_task_state.h"
 
-#include "packet_counters.h"
-
-#include <core/flow_director.h>
 #include <core/zone.h>
 #include <daemon/control_message.h>
 #include <daemon/drain_message.h>
@@ -14,12 +11,8 @@
 #include <daemon/target_state_message.h>
 #include <inttypes.h>
 #include <string.h>
-#include <task/timer.h>
-#include <task/udp_socket.h>
 #include <unistd.h>
 #include <wire/flow_codec.h>
-#include <wire/forward_header.h>
-#include <wire/packet.h>
 
 #define MAILBOX_CAPACITY 1024
 #define RECEIVE_BUFFER_BYTES (4 * 1024 * 1024)
@@ -29,169 +22,6 @@
 #define FLOW_SHARE_NUMERATOR 3
 #define FLOW_SHARE_DENOMINATOR 4
 
-struct packet_task {
-	struct task *task;
-	const struct settings *settings;
-	struct udp_socket *socket;
-	struct timer *tick_timer;
-	struct flow_director *director;
-	struct node_view *view;
-	struct packet_counters *counters;
-	struct log *log;
-	/* Carries messages to other nodes; NULL for a node without peers. */
-	struct task *control;
-	uint64_t node_id;
-	/* What the control task was told last; it takes true to begin with. */
-	bool is_ready;
-	/* Who waits for the end of the drain. */
-	struct task *drain_reply_to;
-	uint8_t forwarded[FORWARD_HEADER_BYTES + PACKET_BYTES_MAX];
-};
-
-static void count(struct packet_task *packets, uint32_t row)
-{
-	counter_set_add(packet_counters_set(packets->counters), row, 1);
-}
-
-/* A message that finds no room is lost; the director sends it again. */
-static void send_message(void *context, uint64_t to_node_id,
-			 const struct flow_message *message)
-{
-	struct packet_task *packets = context;
-	GByteArray *body;
-	struct message *out;
-
-	if (!packets->control)
-		return;
-	body = flow_codec_encode(message, NULL);
-	if (!body)
-		return;
-	out = control_message_new(&control_out_type, to_node_id,
-				  flow_codec_procedure(), body->data,
-				  body->len);
-	g_byte_array_free(body, TRUE);
-	if (task_post(packets->control, out) == POST_TAKEN)
-		return;
-	message_free(out);
-	count(packets, PACKETS_MESSAGES_NOT_POSTED);
-}
-
-static void log_placement(struct packet_task *packets,
-			  const struct placement *placement)
-{
-	char text[ENDPOINT_TEXT_BYTES];
-
-	if (placement->kind == PLACE_TO_NODE)
-		log_write(packets->log, LOG_LEVEL_INFO, "placement",
-			  "service=%08" PRIx32 " node=%016" PRIx64 " reason=%s",
-			  placement->service_id, placement->node_id,
-			  reason_name(placement->reason));
-	else
-		log_write(packets->log, LOG_LEVEL_INFO, "placement",
-			  "service=%08" PRIx32 " target=%s reason=%s",
-			  placement->service_id,
-			  placement->kind == PLACE_TO_TARGET
-				  ? endpoint_format(&placement->endpoint, text)
-				  : "none",
-			  reason_name(placement->reason));
-}
-
-/* A known flow's packets follow a decision that was logged with the first. */
-static bool is_decision(const struct packet_event *event,
-			const struct placement *placement)
-{
-	return event->kind == PACKET_FIRST || placement->kind == PLACE_DROP ||
-	       (placement->reason != REASON_RECORD &&
-		placement->reason != REASON_TO_HOME);
-}
-
-static bool send_to_node(struct packet_task *packets,
-			 const struct packet_event *event, uint64_t node_id,
-			 const uint8_t *bytes, uint32_t length_bytes)
-{
-	const struct node *node = node_view_find(packets->view, node_id);
-	struct forward_header header = {
-		.hop_count = event->hop_count + 1,
-		.from_node_id = packets->node_id,
-	};
-
-	if (!node || length_bytes > PACKET_BYTES_MAX)
-		return false;
-	forward_header_write(packets->forwarded, &header);
-	memcpy(packets->forwarded + FORWARD_HEADER_BYTES, bytes, length_bytes);
-	return udp_socket_send(packets->socket, &node->packets,
-			       packets->forwarded,
-			       FORWARD_HEADER_BYTES + length_bytes);
-}
-
-static void carry_out(struct packet_task *packets,
-		      const struct packet_event *event,
-		      const struct placement *placement, const uint8_t *bytes,
-		      uint32_t length_bytes)
-{
-	bool is_sent;
-
-	if (placement->kind == PLACE_DROP) {
-		count(packets, PACKETS_DROPPED + placement->reason);
-		return;
-	}
-	count(packets, PACKETS_PLACED + placement->reason);
-	if (placement->kind == PLACE_TO_NODE) {
-		is_sent = send_to_node(packets, event, placement->node_id,
-				       bytes, length_bytes);
-		count(packets, is_sent ? PACKETS_TO_NODES : PACKETS_NOT_SENT);
-		return;
-	}
-	is_sent = udp_socket_send(packets->socket, &placement->endpoint, bytes,
-				  length_bytes);
-	count(packets, is_sent ? PACKETS_FORWARDED : PACKETS_NOT_SENT);
-}
-
-/* Believes a header that comes from the packet address of a node known here. */
-static bool read_header(struct packet_task *packets,
-			struct forward_header *header,
-			const struct endpoint *from, const uint8_t *bytes,
-			uint32_t length_bytes)
-{
-	const struct node *node;
-
-	if (!packets->view || !forward_header_read(header, bytes, length_bytes))
-		return false;
-	node = node_view_find(packets->view, header->from_node_id);
-	return node && endpoint_equal(&node->packets, from);
-}
-
-static void on_packet(void *context, const struct endpoint *from,
-		      const uint8_t *bytes, uint32_t length_bytes)
-{
-	struct packet_task *packets = context;
-	struct forward_header header = {.hop_count = 0};
-	struct packet_event event;
-	struct placement placement;
-
-	count(packets, PACKETS_RECEIVED);
-	if (forward_header_is_there(bytes, length_bytes)) {
-		if (!read_header(packets, &header, from, bytes, length_bytes)) {
-			count(packets, PACKETS_STRAY);
-			return;
-		}
-		count(packets, PACKETS_FROM_NODES);
-	}
-	bytes += header.length_bytes;
-	length_bytes -= header.length_bytes;
-	if (!packet_parse(&event, bytes, length_bytes)) {
-		count(packets, PACKETS_DROPPED + REASON_MALFORMED);
-		return;
-	}
-	event.hop_count = header.hop_count;
-	event.from_node_id = header.from_node_id;
-	placement =
-		flow_director_packet(packets->director, &event, task_now_ms());
-	if (is_decision(&event, &placement))
-		log_placement(packets, &placement);
-	carry_out(packets, &event, &placement, bytes, length_bytes);
-}
-
 static void answer_drain(struct packet_task *packets)
 {
 	struct message *drained = drained_message_new(packets->task);
@@ -246,7 +76,7 @@
 		.listen = packets->settings->listen_packets,
 		.buffer_bytes = RECEIVE_BUFFER_BYTES,
 		.context = packets,
-		.receive = on_packet,
+		.receive = packet_forward_packet,
 	};
 
 	packets->socket = udp_socket_new(task, &options, error);
@@ -294,7 +124,8 @@
 		flow_director_message(packets->director, in->node_id,
 				      &flow_message, task_now_ms());
 	else
-		count(packets, PACKETS_MESSAGES_MALFORMED);
+		counter_set_add(packet_counters_set(packets->counters),
+				PACKETS_MESSAGES_MALFORMED, 1);
 }
 
 static void take_metrics(struct packet_task *packets, struct message *message)
@@ -357,7 +188,7 @@
 		.control_bytes_per_s = settings->members_bytes_per_s /
 				       FLOW_SHARE_DENOMINATOR *
 				       FLOW_SHARE_NUMERATOR,
-		.effects = {.context = packets, .send = send_message},
+		.effects = {.context = packets, .send = packet_forward_message},
 	};
 
 	return flow_director_new(&options);
--- a/fakes/src/flow_fleet_rules.c
+++ b/fakes/src/flow_fleet_rules.c
@@ -91,3 +91,42 @@
 		rule_set_add(rules, make_rule(fleet, i));
 	return rules;
 }
+
+/* Gives the first service the targets first to first + count - 1. */
+void flow_fleet_pool(struct flow_fleet *fleet, uint32_t first, uint32_t count,
+		     uint32_t weight_of_first)
+{
+	fleet->pool_first = first;
+	fleet->pool_count = count;
+	fleet->weight_of_first = weight_of_first;
+}
+
+/* Writes the rules in another form from the next publication on. */
+void flow_fleet_set_form(struct flow_fleet *fleet, uint32_t form)
+{
+	fleet->form = form;
+}
+
+/* Returns the number of targets of the first service at the start. */
+uint32_t flow_fleet_target_count(const struct flow_fleet *fleet)
+{
+	return fleet->options.target_count;
+}
+
+/* Takes a target out of the first service's pool. */
+void flow_fleet_remove_target(struct flow_fleet *fleet, uint32_t number)
+{
+	fleet->removed_number = number;
+}
+
+/* Gives the address of a removed target to the second service. */
+void flow_fleet_move_target(struct flow_fleet *fleet, uint32_t number)
+{
+	fleet->moved_number = number;
+}
+
+/* Changes how unevenly news spreads from now on. */
+void flow_fleet_set_spread(struct flow_fleet *fleet, uint32_t spread_ms)
+{
+	fleet->options.spread_ms = spread_ms;
+}
