--- a/core/src/relay/relay_directory.c
+++ b/core/src/relay/relay_directory.c
@@ -135,19 +135,21 @@
 		lose(known, now_ms);
 }
 
-static bool is_listed(const GArray *target_ids, uint64_t target_id)
+/* The ids as a set, since a list may name thousands. */
+static GHashTable *set_of(const GArray *target_ids)
 {
-	for (guint i = 0; i < target_ids->len; i++) {
-		if (g_array_index(target_ids, uint64_t, i) == target_id)
-			return true;
-	}
-	return false;
+	GHashTable *set = g_hash_table_new(g_int64_hash, g_int64_equal);
+
+	for (guint i = 0; i < target_ids->len; i++)
+		g_hash_table_add(set, &g_array_index(target_ids, uint64_t, i));
+	return set;
 }
 
 /* Takes a whole list: targets that are not on it are gone. */
 void relay_directory_remove_others(struct relay_directory *directory,
 				   const GArray *target_ids, int64_t now_ms)
 {
+	GHashTable *listed = set_of(target_ids);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -155,9 +157,10 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct relay_target *known = value;
 
-		if (!is_listed(target_ids, known->target.target_id))
+		if (!g_hash_table_contains(listed, &known->target.target_id))
 			lose(known, now_ms);
 	}
+	g_hash_table_destroy(listed);
 }
 
 /* Returns the target of a tag, or NULL. */
--- a/daemon/src/claims/claims_task.c
+++ b/daemon/src/claims/claims_task.c
@@ -6,11 +6,11 @@
 #include <daemon/control_message.h>
 #include <daemon/metrics_message.h>
 #include <daemon/roster_message.h>
+#include <daemon/task_log.h>
 #include <inttypes.h>
 #include <task/counter_set.h>
 #include <task/log.h>
 #include <task/timer.h>
-#include <unistd.h>
 #include <wire/claim_codec.h>
 
 /* Full mailbox: askers count that as unknown, other nodes ask again. */
@@ -252,19 +252,12 @@
 		.lease_ms = LEASE_MS,
 		.effects = {claims, on_send, on_answer},
 	};
-	struct log_options log_options = {
-		.program = "shallotd",
-		.task = "claims",
-		.level = (enum log_level)claims->options.settings->log_level,
-		.rate_per_s = claims->options.settings->log_rate_per_s,
-		.fd = STDOUT_FILENO,
-	};
 
 	claims->claims = claim_director_new(&director);
 	claims->askers = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, g_free);
 	claims->counters = counter_set_new(counter_rows, CLAIMS_COUNTER_COUNT);
-	claims->log = log_new(&log_options);
+	claims->log = task_log_new(claims->options.settings, "claims");
 }
 
 /*
--- a/daemon/src/config/config_task.c
+++ b/daemon/src/config/config_task.c
@@ -5,8 +5,8 @@
 #include <daemon/control_message.h>
 #include <daemon/metrics_message.h>
 #include <daemon/nodes_message.h>
+#include <daemon/task_log.h>
 #include <inttypes.h>
-#include <unistd.h>
 #include <wire/config_codec.h>
 #include <wire/config_report_codec.h>
 
@@ -223,17 +223,10 @@
 		.handle = handle,
 		.stop = stop,
 	};
-	struct log_options log_options = {
-		.program = "shallotd",
-		.task = "config",
-		.level = (enum log_level)options->settings->log_level,
-		.rate_per_s = options->settings->log_rate_per_s,
-		.fd = STDOUT_FILENO,
-	};
 
 	config->options = *options;
 	config->settings = options->settings;
-	config->log = log_new(&log_options);
+	config->log = task_log_new(options->settings, "config");
 	config->counters =
 		counter_set_new(config_counter_rows, CONFIG_COUNTER_COUNT);
 	config->task = task_new(&task_options, error);
--- a/daemon/src/control/control_task.c
+++ b/daemon/src/control/control_task.c
@@ -14,12 +14,12 @@
 #include <daemon/log_settings_message.h>
 #include <daemon/metrics_message.h>
 #include <daemon/ready_message.h>
+#include <daemon/task_log.h>
 #include <errno.h>
 #include <inttypes.h>
 #include <string.h>
 #include <sys/random.h>
 #include <task/timer.h>
-#include <unistd.h>
 #include <wire/member_codec.h>
 
 #define MAILBOX_CAPACITY 8192
@@ -304,18 +304,11 @@
 		.handle = handle,
 		.stop = stop,
 	};
-	struct log_options log_options = {
-		.program = "shallotd",
-		.task = "control",
-		.level = (enum log_level)settings->log_level,
-		.rate_per_s = settings->log_rate_per_s,
-		.fd = STDOUT_FILENO,
-	};
 
 	control->settings = settings;
 	control->counters = control_counters_new();
 	control->watchers = control_watchers_new();
-	control->log = log_new(&log_options);
+	control->log = task_log_new(settings, "control");
 	if (draw_node_id(&control->node_id, error))
 		control->task = task_new(&options, error);
 	if (control->task)
--- a/daemon/src/flows/packet_task.c
+++ b/daemon/src/flows/packet_task.c
@@ -9,9 +9,9 @@
 #include <daemon/ready_message.h>
 #include <daemon/rules_message.h>
 #include <daemon/target_state_message.h>
+#include <daemon/task_log.h>
 #include <inttypes.h>
 #include <string.h>
-#include <unistd.h>
 #include <wire/flow_codec.h>
 
 #define MAILBOX_CAPACITY 1024
@@ -210,19 +210,12 @@
 		.handle = handle,
 		.stop = stop,
 	};
-	struct log_options log_options = {
-		.program = "shallotd",
-		.task = "packets",
-		.level = (enum log_level)settings->log_level,
-		.rate_per_s = settings->log_rate_per_s,
-		.fd = STDOUT_FILENO,
-	};
 
 	packets->settings = settings;
 	packets->is_ready = true;
 	packets->director = make_director(packets);
 	packets->counters = packet_counters_new();
-	packets->log = log_new(&log_options);
+	packets->log = task_log_new(settings, "packets");
 	packets->task = task_new(&options, error);
 	if (packets->task)
 		return packets;
--- a/daemon/src/relay/feed_task.c
+++ b/daemon/src/relay/feed_task.c
@@ -5,7 +5,7 @@
 #include <daemon/log_settings_message.h>
 #include <daemon/metrics_message.h>
 #include <daemon/stranger_message.h>
-#include <unistd.h>
+#include <daemon/task_log.h>
 
 #define MAILBOX_CAPACITY 64
 
@@ -168,16 +168,9 @@
 		.handle = handle,
 		.stop = stop,
 	};
-	struct log_options log_options = {
-		.program = "shallotd",
-		.task = "feed",
-		.level = (enum log_level)options->settings->log_level,
-		.rate_per_s = options->settings->log_rate_per_s,
-		.fd = STDOUT_FILENO,
-	};
 
 	feed->options = *options;
-	feed->log = log_new(&log_options);
+	feed->log = task_log_new(options->settings, "feed");
 	feed->counters = feed_counters_new();
 	feed->times = feed_times_new();
 	feed->random = g_rand_new();
--- a/daemon/src/relay/relay_task.c
+++ b/daemon/src/relay/relay_task.c
@@ -9,7 +9,7 @@
 #include <daemon/news_message.h>
 #include <daemon/ready_message.h>
 #include <daemon/stranger_message.h>
-#include <unistd.h>
+#include <daemon/task_log.h>
 
 #define MAILBOX_CAPACITY 1024
 
@@ -186,20 +186,13 @@
 		.handle = handle,
 		.stop = stop,
 	};
-	struct log_options log_options = {
-		.program = "shallotd",
-		.task = "relay",
-		.level = (enum log_level)settings->log_level,
-		.rate_per_s = settings->log_rate_per_s,
-		.fd = STDOUT_FILENO,
-	};
 
 	relay->settings = settings;
 	relay->retry_ms = INT64_MAX;
 	relay->counters = relay_counters_new();
 	relay->times = relay_times_new();
 	relay->held = held_packets_new();
-	relay->log = log_new(&log_options);
+	relay->log = task_log_new(settings, "relay");
 	relay->director = make_director(relay);
 	relay->task = task_new(&options, error);
 	if (relay->task)
--- a/daemon/src/requests/request_front.c
+++ b/daemon/src/requests/request_front.c
@@ -1,8 +1,8 @@
 #include "request_front_state.h"
 
+#include <daemon/task_log.h>
 #include <inttypes.h>
 #include <sys/resource.h>
-#include <unistd.h>
 
 /* Connections to targets that are kept for later requests. */
 #define POOL_CAPACITY 512
@@ -115,15 +115,8 @@
 
 static struct log *new_log(const struct settings *settings)
 {
-	struct log_options options = {
-		.program = "shallotd",
-		.task = "requests",
-		.level = (enum log_level)settings->log_level,
-		.rate_per_s = settings->log_rate_per_s,
-		.fd = STDOUT_FILENO,
-	};
 
-	return log_new(&options);
+	return task_log_new(settings, "requests");
 }
 
 static struct request_director *new_director(struct request_front *front)
--- a/fakes/src/ends/caller_flow.c
+++ b/fakes/src/ends/caller_flow.c
@@ -14,6 +14,7 @@
 #define RESEND_MAX_MS 1600
 /* A request without a whole answer for this long has failed. */
 #define REQUEST_END_MS 8000
+/* A few repeats; nobody waits for the end of a flow. */
 #define CLOSING_END_MS 1000
 /* How far a reset's number may be from what was acknowledged last. */
 #define RESET_WINDOW_BYTES 76800
--- a/soak/src/node_settings.c
+++ b/soak/src/node_settings.c
@@ -5,6 +5,7 @@
 
 /* Nodes whose addresses stand in the settings, as on the platform. */
 #define SEED_COUNT_MAX 3
+/* Any figure, the same on all, so that all are alike as readers. */
 #define LINK_MBPS 100
 
 static const char *const zones[SOAK_ZONE_COUNT] = {"soak-a", "soak-b"};
--- a/soak/src/soak_fleet.c
+++ b/soak/src/soak_fleet.c
@@ -5,9 +5,11 @@
 
 #include <task/task.h>
 
+/* A host's work: some times the way through a node on loopback. */
 #define ANSWER_MS 10
 /* Longer than the first time after which callers send a request again. */
 #define SLOW_ANSWER_MS 300
+/* Flows live through a node's drain, and pause for less than a host's. */
 #define FLOW_MS 2500
 #define PAUSE_MS 250
 
--- a/soak/src/soak_nodes.c
+++ b/soak/src/soak_nodes.c
@@ -8,8 +8,12 @@
 #include <soak/soak_error.h>
 #include <task/task.h>
 
+/* Each way: a call still ends within the 2 s that nodes wait for one. */
+/* Each way: a call still ends within the 2 s that nodes wait for one. */
 #define LINK_DELAY_MS 300
+/* Many times what a start takes, for a busy machine. */
 #define READY_TIMEOUT_MS 15000
+/* More than a node may take to end, after which it is a fault. */
 #define STOP_TIMEOUT_MS 10000
 /* From a node's start until routers have asked it and use it. */
 #define IN_ROTATION_MS 2000
--- a/soak/src/soak_store.c
+++ b/soak/src/soak_store.c
@@ -3,6 +3,7 @@
 #include "soak_net.h"
 
 #define REFUSAL_STATUS 503
+/* What a slow store took on the users' bench. */
 #define SLOW_MS 400
 /* More answers than nodes write in the time that the fault lasts. */
 #define LOST_ANSWER_COUNT 1000
