Use one set of histograms, one clock read for a packet, and drop what is unused

Cause, found by reading the whole change again: relay_times and feed_times were one module written twice; a packet read the clock four times, twice of them for the same moment; the key of a host's entry was written in three places and the reset on close in four; wrong_node_fault_name, the steps of soak_nodes and two counts of enums had no user; node_settings included the header of its user for one constant.

Change: histogram_set beside counter_set, with rows as there; each task keeps its table alone, and metrics_request_answer_timed takes the set. task_now_us beside task_now_ms, from which the packet's milliseconds follow; two clock reads for a packet remain. fake_host_entry_key and socket_reset_on_close. What had no user is gone; SOAK_ZONE_COUNT stands with the zones.

Ruled out: taking the gaps between reports from relay_loads, which forgets a node after 1.5 s and would lose the long gaps that the histogram is for; sharing the decoder between end_packet and echo_packet, which must not have the same mistake.

Behaviour, checks and bounds are as before; no assertion changed.

--- a/ctl/src/demo_platform.c
+++ b/ctl/src/demo_platform.c
@@ -1,5 +1,6 @@
 #include "demo_platform.h"
 
+#include <fakes/fake_host.h>
 #include <fakes/fake_kv.h>
 
 struct demo_platform {
@@ -12,7 +13,7 @@
 			 const char *state)
 {
 	char address[ENDPOINT_TEXT_BYTES];
-	char *key = g_strdup_printf("servers/i-%x", index + 1);
+	char *key = fake_host_entry_key(index + 1);
 	char *text = g_strdup_printf(
 		"{\"service\":\"demo\",\"address\":\"%s\",\"zone\":"
 		"\"zone-1\",\"concurrency\":1,\"state\":\"%s\","
--- a/daemon/include/daemon/metrics_message.h
+++ b/daemon/include/daemon/metrics_message.h
@@ -3,7 +3,7 @@
 
 #include <glib.h>
 #include <task/counter_set.h>
-#include <task/histogram.h>
+#include <task/histogram_set.h>
 #include <task/task.h>
 
 /* Asks a task for its counters; the task answers to reply_to. */
@@ -28,7 +28,6 @@
 			    const struct counter_set *counters);
 void metrics_request_answer_timed(struct message *request,
 				  const struct counter_set *counters,
-				  struct histogram *const *histograms,
-				  uint32_t histogram_count);
+				  const struct histogram_set *times);
 
 #endif
--- a/daemon/src/node/metrics_message.c
+++ b/daemon/src/node/metrics_message.c
@@ -29,14 +29,13 @@
 }
 
 /*
- * Sends counters and histograms, which may be none, to the task that asked.
+ * Sends counters and, where there are any, times to the task that asked.
  * An answer that finds the mailbox full or closed is dropped: the asker then
  * times out and reports less.
  */
 void metrics_request_answer_timed(struct message *request,
 				  const struct counter_set *counters,
-				  struct histogram *const *histograms,
-				  uint32_t histogram_count)
+				  const struct histogram_set *times)
 {
 	const struct metrics_request *asked = (struct metrics_request *)request;
 	struct metrics_reply *reply = g_new0(struct metrics_reply, 1);
@@ -45,8 +44,8 @@
 	reply->request_id = asked->request_id;
 	reply->text = g_string_new(NULL);
 	counter_set_render(counters, reply->text);
-	for (uint32_t i = 0; i < histogram_count; i++)
-		histogram_render(histograms[i], reply->text);
+	if (times)
+		histogram_set_render(times, reply->text);
 	task_post_or_free(asked->reply_to, &reply->message);
 }
 
@@ -54,5 +53,5 @@
 void metrics_request_answer(struct message *request,
 			    const struct counter_set *counters)
 {
-	metrics_request_answer_timed(request, counters, NULL, 0);
+	metrics_request_answer_timed(request, counters, NULL);
 }
--- a/daemon/src/relay/feed_follow.c
+++ b/daemon/src/relay/feed_follow.c
@@ -101,7 +101,7 @@
 {
 	struct feed_task *feed = context;
 
-	feed_times_add(feed->times, FEED_TIME_STORE_CALL, duration_ms);
+	histogram_set_add(feed->times, FEED_TIME_STORE_CALL, duration_ms);
 }
 
 static void note_gap(struct feed_task *feed)
@@ -109,8 +109,8 @@
 	int64_t now_ms = task_now_ms();
 
 	if (feed->current_ms != 0)
-		feed_times_add(feed->times, FEED_TIME_NEWS_GAP,
-			       now_ms - feed->current_ms);
+		histogram_set_add(feed->times, FEED_TIME_NEWS_GAP,
+				  now_ms - feed->current_ms);
 	feed->current_ms = now_ms;
 }
 
--- a/daemon/src/relay/feed_task.c
+++ b/daemon/src/relay/feed_task.c
@@ -127,8 +127,7 @@
 
 	if (message->type == &metrics_request_type)
 		metrics_request_answer_timed(message, feed->counters,
-					     feed_times_all(feed->times),
-					     FEED_TIME_COUNT);
+					     feed->times);
 	else if (message->type == &drain_message_type)
 		drain(feed, message);
 	else if (message->type == &stranger_message_type)
@@ -189,7 +188,7 @@
 		return;
 	task_free(feed->task);
 	counter_set_free(feed->counters);
-	feed_times_free(feed->times);
+	histogram_set_free(feed->times);
 	log_free(feed->log);
 	g_rand_free(feed->random);
 	g_free(feed);
--- a/daemon/src/relay/feed_task_state.h
+++ b/daemon/src/relay/feed_task_state.h
@@ -22,7 +22,7 @@
 	struct task *task;
 	struct log *log;
 	struct counter_set *counters;
-	struct feed_times *times;
+	struct histogram_set *times;
 	struct kv_client *client;
 	struct kv_mirror *mirror;
 	struct node_entry *entry;
--- a/daemon/src/relay/relay_forward.c
+++ b/daemon/src/relay/relay_forward.c
@@ -2,6 +2,8 @@
 
 #include <platform/echo_packet.h>
 
+#define US_PER_MS 1000
+
 static struct relay_log_state log_state(const struct relay_task *relay,
 					int64_t now_ms)
 {
@@ -47,18 +49,16 @@
 		       const struct relay_log_state *state)
 {
 	if (verdict->is_answered)
-		relay_times_add(relay->times, RELAY_TIME_ANSWER,
-				verdict->answer_ms);
+		histogram_set_add(relay->times, RELAY_TIME_ANSWER,
+				  verdict->answer_ms);
 	if (packet->is_opening && relay->news_ms != 0)
-		relay_times_add(relay->times, RELAY_TIME_NEWS_AGE,
-				state->news_age_ms);
+		histogram_set_add(relay->times, RELAY_TIME_NEWS_AGE,
+				  state->news_age_ms);
 }
 
-static void take_packet(void *context, const uint8_t *bytes,
-			uint32_t length_bytes)
+static void take_packet(struct relay_task *relay, const uint8_t *bytes,
+			uint32_t length_bytes, int64_t now_ms)
 {
-	struct relay_task *relay = context;
-	int64_t now_ms = task_now_ms();
 	struct relay_log_state state = log_state(relay, now_ms);
 	struct relay_packet packet;
 	struct relay_verdict verdict;
@@ -86,13 +86,19 @@
 			  const uint8_t *bytes, uint32_t length_bytes)
 {
 	struct relay_task *relay = context;
-	int64_t taken_us = g_get_monotonic_time();
+	int64_t taken_us = task_now_us();
 
 	counter_set_add(relay_task_counters(relay), RELAY_PACKETS, 1);
-	relay->packet_ms = task_now_ms();
-	take_packet(relay, bytes, length_bytes);
-	relay_times_add(relay->times, RELAY_TIME_FORWARD,
-			g_get_monotonic_time() - taken_us);
+	relay->packet_ms = taken_us / US_PER_MS;
+	take_packet(relay, bytes, length_bytes, relay->packet_ms);
+	histogram_set_add(relay->times, RELAY_TIME_FORWARD,
+			  task_now_us() - taken_us);
+}
+
+static void take_held(void *context, const uint8_t *bytes,
+		      uint32_t length_bytes)
+{
+	take_packet(context, bytes, length_bytes, task_now_ms());
 }
 
 /* Decides anew on what was held, once the start is over. */
@@ -101,7 +107,7 @@
 	if (held_packets_is_empty(relay->held) ||
 	    relay_director_is_starting(relay->director, task_now_ms()))
 		return;
-	held_packets_release(relay->held, relay, take_packet);
+	held_packets_release(relay->held, relay, take_held);
 }
 
 /* Sends an opening packet to another target, as the director asks. */
--- a/daemon/src/relay/relay_peers.c
+++ b/daemon/src/relay/relay_peers.c
@@ -75,8 +75,8 @@
 	int64_t *heard_ms = g_hash_table_lookup(peers->heard_ms, &node_id);
 
 	if (heard_ms) {
-		relay_times_add(peers->options.times, RELAY_TIME_REPORT_GAP,
-				now_ms - *heard_ms);
+		histogram_set_add(peers->options.times, RELAY_TIME_REPORT_GAP,
+				  now_ms - *heard_ms);
 		*heard_ms = now_ms;
 		return;
 	}
--- a/daemon/src/relay/relay_peers.h
+++ b/daemon/src/relay/relay_peers.h
@@ -20,7 +20,7 @@
 	const struct settings *settings;
 	struct relay_director *director;
 	struct counter_set *counters;
-	struct relay_times *times;
+	struct histogram_set *times;
 	void *context;
 	void (*on_stranger)(void *context, const struct endpoint *from);
 };
--- a/daemon/src/relay/relay_task.c
+++ b/daemon/src/relay/relay_task.c
@@ -108,8 +108,7 @@
 {
 	relay_counters_gauges(relay->counters, relay->director);
 	metrics_request_answer_timed(message, relay_task_counters(relay),
-				     relay_times_all(relay->times),
-				     RELAY_TIME_COUNT);
+				     relay->times);
 }
 
 static void take_drain(struct relay_task *relay, struct message *message)
@@ -209,7 +208,7 @@
 	task_free(relay->task);
 	relay_director_free(relay->director);
 	relay_counters_free(relay->counters);
-	relay_times_free(relay->times);
+	histogram_set_free(relay->times);
 	held_packets_free(relay->held);
 	log_free(relay->log);
 	g_free(relay);
--- a/daemon/src/relay/relay_task_state.h
+++ b/daemon/src/relay/relay_task_state.h
@@ -25,7 +25,7 @@
 	struct relay_director *director;
 	struct relay_peers *peers;
 	struct relay_counters *counters;
-	struct relay_times *times;
+	struct histogram_set *times;
 	struct held_packets *held;
 	struct log *log;
 	struct relay_drain drain;
--- a/daemon/test/exchange_test.c
+++ b/daemon/test/exchange_test.c
@@ -3,6 +3,7 @@
 #include "raw_caller.h"
 
 #include <fakes/script_target.h>
+#include <fakes/socket_reset.h>
 #include <fakes/test_main.h>
 
 #define WAIT_STEP_US 1000
@@ -181,9 +182,8 @@
 
 static void leave(struct raw_caller *caller, bool is_reset)
 {
-	struct linger linger = {.l_onoff = is_reset, .l_linger = 0};
-
-	setsockopt(caller->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	if (is_reset)
+		socket_reset_on_close(caller->fd);
 	raw_caller_close(caller);
 }
 
--- a/fakes/include/fakes/fake_host.h
+++ b/fakes/include/fakes/fake_host.h
@@ -36,5 +36,6 @@
 void fake_host_free(struct fake_host *host);
 void fake_host_enter(struct fake_host *host);
 void fake_host_drain(struct fake_host *host);
+char *fake_host_entry_key(uint64_t host_id);
 
 #endif
--- a/fakes/include/fakes/wrong_node.h
+++ b/fakes/include/fakes/wrong_node.h
@@ -21,7 +21,6 @@
 	WRONG_NODE_USES_ANY_SERVICE,
 	WRONG_NODE_REFUSES,
 	WRONG_NODE_DROPS,
-	WRONG_NODE_FAULT_COUNT,
 };
 
 struct wrong_node_options {
@@ -52,6 +51,5 @@
 			 const struct wrong_node_host *host);
 void wrong_node_set_route(struct wrong_node *node,
 			  const struct wrong_node_route *route);
-const char *wrong_node_fault_name(enum wrong_node_fault fault);
 
 #endif
--- a/fakes/src/ends/fake_host.c
+++ b/fakes/src/ends/fake_host.c
@@ -1,9 +1,9 @@
 #include <fakes/fake_host.h>
 
 #include "end_answer.h"
+#include "host_entry.h"
 #include "host_flow.h"
 
-#include <inttypes.h>
 #include <stdatomic.h>
 #include <string.h>
 #include <task/task.h>
@@ -13,7 +13,6 @@
 #define MAILBOX_CAPACITY 64
 /* How exactly answers keep their time. */
 #define TICK_MS 5
-#define ENTRY_KEY "servers/i-%" PRIx64
 
 struct fake_host {
 	struct fake_host_options options;
@@ -279,15 +278,8 @@
 static void enter(const struct fake_host *host)
 {
 	const struct fake_host_options *options = &host->options;
-	char address[ENDPOINT_TEXT_BYTES];
-	char *key = g_strdup_printf(ENTRY_KEY, options->host_id);
-	char *text = g_strdup_printf(
-		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-		"\"version\":\"1\",\"concurrency\":%u,\"state\":\"%s\","
-		"\"warmupRemainingMs\":0,\"sequence\":1,\"born\":%" PRIu64 "}",
-		options->service, endpoint_format(&options->listen, address),
-		options->zone, options->slot_count,
-		host->is_draining ? "draining" : "ready", options->born_ms);
+	char *key = fake_host_entry_key(options->host_id);
+	char *text = host_entry_text(options, host->is_draining);
 
 	fake_kv_put(options->store, key, text);
 	g_free(text);
--- /dev/null
+++ b/fakes/src/ends/host_entry.c
@@ -0,0 +1,23 @@
+#include "host_entry.h"
+
+#include <inttypes.h>
+
+/* Returns the key of a host's entry in the store; the caller frees it. */
+char *fake_host_entry_key(uint64_t host_id)
+{
+	return g_strdup_printf("servers/i-%" PRIx64, host_id);
+}
+
+/* Returns what a host's entry says; the caller frees it. */
+char *host_entry_text(const struct fake_host_options *options, bool is_draining)
+{
+	char address[ENDPOINT_TEXT_BYTES];
+
+	return g_strdup_printf(
+		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+		"\"version\":\"1\",\"concurrency\":%u,\"state\":\"%s\","
+		"\"warmupRemainingMs\":0,\"sequence\":1,\"born\":%" PRIu64 "}",
+		options->service, endpoint_format(&options->listen, address),
+		options->zone, options->slot_count,
+		is_draining ? "draining" : "ready", options->born_ms);
+}
--- a/fakes/src/ends/proxy_pair.c
+++ b/fakes/src/ends/proxy_pair.c
@@ -2,7 +2,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <sys/socket.h>
+#include <fakes/socket_reset.h>
 #include <task/timer.h>
 #include <wire/sock_addr.h>
 
@@ -134,11 +134,8 @@
 /* Ends both connections. */
 void proxy_pair_free(struct proxy_pair *pair)
 {
-	struct linger reset = {.l_onoff = 1};
-
 	if (pair->options.fault->is_reset)
-		setsockopt(bufferevent_getfd(pair->client), SOL_SOCKET,
-			   SO_LINGER, &reset, sizeof(reset));
+		socket_reset_on_close(bufferevent_getfd(pair->client));
 	timer_free(pair->to_server.timer);
 	timer_free(pair->to_client.timer);
 	bufferevent_free(pair->client);
--- a/fakes/src/ends/tcp_proxy.c
+++ b/fakes/src/ends/tcp_proxy.c
@@ -3,7 +3,7 @@
 #include "proxy_pair.h"
 
 #include <event2/listener.h>
-#include <sys/socket.h>
+#include <fakes/socket_reset.h>
 #include <task/task_error.h>
 #include <unistd.h>
 #include <wire/sock_addr.h>
@@ -39,9 +39,7 @@
 
 static void refuse(evutil_socket_t fd)
 {
-	struct linger reset = {.l_onoff = 1};
-
-	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	socket_reset_on_close(fd);
 	close(fd);
 }
 
--- a/fakes/src/ends/wrong_node.c
+++ b/fakes/src/ends/wrong_node.c
@@ -38,25 +38,6 @@
 
 static const struct message_type news_type = {"wrong_node_news", news_free};
 
-static const char *const fault_names[] = {
-	[WRONG_NODE_NONE] = "none",
-	[WRONG_NODE_USES_DRAINING] = "uses-draining",
-	[WRONG_NODE_KEEPS_ROUTES] = "keeps-routes",
-	[WRONG_NODE_GOES_BACK] = "goes-back",
-	[WRONG_NODE_RESETS_OPEN] = "resets-open",
-	[WRONG_NODE_CHANGES_PACKETS] = "changes-packets",
-	[WRONG_NODE_MOVES_FLOWS] = "moves-flows",
-	[WRONG_NODE_USES_ANY_SERVICE] = "uses-any-service",
-	[WRONG_NODE_REFUSES] = "refuses",
-	[WRONG_NODE_DROPS] = "drops",
-};
-
-/* Returns the name of a mistake. */
-const char *wrong_node_fault_name(enum wrong_node_fault fault)
-{
-	return fault_names[fault];
-}
-
 static bool has_fault(const struct wrong_node *node,
 		      enum wrong_node_fault fault)
 {
--- a/fakes/src/script_connection.c
+++ b/fakes/src/script_connection.c
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <fakes/socket_reset.h>
 #include <glib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -35,10 +36,7 @@
 
 static void reset_now(struct script_connection *connection)
 {
-	struct linger linger = {.l_onoff = 1, .l_linger = 0};
-
-	setsockopt(connection->options.fd, SOL_SOCKET, SO_LINGER, &linger,
-		   sizeof(linger));
+	socket_reset_on_close(connection->options.fd);
 	close_now(connection);
 }
 
--- a/soak/include/soak/soak_fact.h
+++ b/soak/include/soak/soak_fact.h
@@ -19,7 +19,6 @@
 	SOAK_QUIET,
 	/* A process broke a promise that no packet shows. */
 	SOAK_PROCESS_FAULT,
-	SOAK_FACT_KIND_COUNT,
 };
 
 #define SOAK_FACT_TEXT_BYTES 120
--- a/soak/src/node_settings.c
+++ b/soak/src/node_settings.c
@@ -1,7 +1,6 @@
 #include "node_settings.h"
 
 #include "soak_net.h"
-#include "soak_nodes.h"
 
 /* Nodes whose addresses stand in the settings, as on the platform. */
 #define SEED_COUNT_MAX 3
--- a/soak/src/node_settings.h
+++ b/soak/src/node_settings.h
@@ -5,6 +5,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#define SOAK_ZONE_COUNT 2
+
 /* How long nodes may take to drain, by their settings. */
 #define NODE_DRAIN_TIMEOUT_MS 5000
 
--- a/soak/src/soak_fleet.c
+++ b/soak/src/soak_fleet.c
@@ -1,6 +1,5 @@
 #include "soak_fleet.h"
 
-#include "node_settings.h"
 #include "soak_net.h"
 
 #include <task/task.h>
@@ -108,7 +107,6 @@
 		.directory = fleet->options.directory,
 		.node_count = fleet->options.node_count,
 		.judge = fleet->judge,
-		.steps = fleet->steps,
 	};
 
 	fleet->nodes = soak_nodes_new(&options, error);
--- a/soak/src/soak_fleet.h
+++ b/soak/src/soak_fleet.h
@@ -1,6 +1,7 @@
 #ifndef SOAK_FLEET_H
 #define SOAK_FLEET_H
 
+#include "node_settings.h"
 #include "soak_hosts.h"
 #include "soak_nodes.h"
 #include "soak_routes.h"
--- a/soak/src/soak_hosts.c
+++ b/soak/src/soak_hosts.c
@@ -4,7 +4,6 @@
 #include "soak_net.h"
 
 #include <fakes/fake_host.h>
-#include <inttypes.h>
 #include <task/task.h>
 
 /*
@@ -210,7 +209,7 @@
 static void remove_entry(const struct soak_hosts *hosts,
 			 const struct soak_host *host)
 {
-	char *key = g_strdup_printf("servers/i-%" PRIx64, host->host_id);
+	char *key = fake_host_entry_key(host->host_id);
 
 	fake_kv_remove(hosts->options.kv, key);
 	g_free(key);
--- a/soak/src/soak_nodes.h
+++ b/soak/src/soak_nodes.h
@@ -3,12 +3,9 @@
 
 #include "judge_task.h"
 #include "node_process.h"
-#include "soak_steps.h"
 
 #include <fakes/fake_caller.h>
 
-#define SOAK_ZONE_COUNT 2
-
 /* The nodes of a run: their processes, and a proxy from each to the store. */
 struct soak_nodes;
 
@@ -17,7 +14,6 @@
 	const char *directory;
 	uint32_t node_count;
 	struct judge_task *judge;
-	struct soak_steps *steps;
 };
 
 /* What can be wrong with a node's way to the store; several may be at once. */
--- a/soak/src/soak_schedule.c
+++ b/soak/src/soak_schedule.c
@@ -10,6 +10,8 @@
 #define WITHIN_SERIES_MAX_MS 900
 #define BETWEEN_SERIES_MIN_MS 1000
 #define BETWEEN_SERIES_MAX_MS 9000
+/* More than a run has of anything, so that all have a like chance. */
+#define SUBJECT_COUNT 1000
 #define KIND_BYTES 32
 
 struct soak_schedule {
@@ -60,7 +62,7 @@
 	return (struct soak_fault){
 		.at_ms = at_ms,
 		.kind = kind,
-		.subject = g_rand_int(rand) % 1000,
+		.subject = g_rand_int(rand) % SUBJECT_COUNT,
 		.duration_ms = (uint32_t)g_rand_int_range(
 			rand, (gint32)row->duration_min_ms,
 			(gint32)row->duration_max_ms + 1),
--- a/task/include/task/task.h
+++ b/task/include/task/task.h
@@ -35,5 +35,6 @@
 struct event_base *task_base(struct task *task);
 const char *task_name(const struct task *task);
 int64_t task_now_ms(void);
+int64_t task_now_us(void);
 
 #endif
--- a/task/src/task.c
+++ b/task/src/task.c
@@ -8,8 +8,9 @@
 #include <time.h>
 #include <unistd.h>
 
-#define MS_PER_S 1000
-#define NS_PER_MS 1000000
+#define US_PER_S 1000000
+#define US_PER_MS 1000
+#define NS_PER_US 1000
 
 struct task {
 	struct task_options options;
@@ -240,9 +241,15 @@
 
 /* Returns monotonic time in milliseconds. */
 int64_t task_now_ms(void)
+{
+	return task_now_us() / US_PER_MS;
+}
+
+/* Returns the same time in microseconds. */
+int64_t task_now_us(void)
 {
 	struct timespec now;
 
 	clock_gettime(CLOCK_MONOTONIC, &now);
-	return (int64_t)now.tv_sec * MS_PER_S + now.tv_nsec / NS_PER_MS;
+	return (int64_t)now.tv_sec * US_PER_S + now.tv_nsec / NS_PER_US;
 }
