Let the streams of HTTP servers close their own sockets

Cause: evhttp closes the socket of a connection and removes its events in a deferred callback afterwards, from a descriptor that another thread may have got by then. strace of daemon/config_task_test showed 40 epoll_ctl calls that failed with EBADF, all in the thread of the fake store, each after a close of the same descriptor. That is the race which the thread sanitizer reported.

Ruled out: the clients (http_call), whose events were removed before the close in the same trace.

Change: task/http_server creates servers whose streams own their sockets (BEV_OPT_CLOSE_ON_FREE) and close them after their events are removed.

--- a/daemon/src/node/admin_task.c
+++ b/daemon/src/node/admin_task.c
@@ -6,6 +6,7 @@
 #include <daemon/ready_message.h>
 #include <event2/buffer.h>
 #include <event2/http.h>
+#include <task/http_server.h>
 #include <task/timer.h>
 
 #define MAILBOX_CAPACITY 256
@@ -150,7 +151,7 @@
 	struct admin_task *admin = context;
 	const struct settings *settings = admin->options.settings;
 
-	admin->http = evhttp_new(task_base(task));
+	admin->http = http_server_new(task_base(task));
 	evhttp_set_allowed_methods(admin->http, EVHTTP_REQ_GET);
 	evhttp_set_max_headers_size(admin->http, HEADER_BYTES_MAX);
 	evhttp_set_max_body_size(admin->http, 0);
--- a/fakes/src/fake_kv.c
+++ b/fakes/src/fake_kv.c
@@ -11,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <task/http_server.h>
 #include <task/task.h>
 #include <task/task_error.h>
 #include <task/timer.h>
@@ -193,7 +194,7 @@
 	struct evhttp_bound_socket *bound;
 
 	http_abort_block_sigpipe();
-	kv->http = evhttp_new(task_base(task));
+	kv->http = http_server_new(task_base(task));
 	evhttp_set_gencb(kv->http, on_request, kv);
 	bound = evhttp_bind_socket_with_handle(
 		kv->http, ip_addr_format(&kv->options.listen.addr, address),
--- a/fakes/src/fake_target.c
+++ b/fakes/src/fake_target.c
@@ -4,6 +4,7 @@
 #include <event2/http.h>
 #include <fakes/loopback.h>
 #include <stdatomic.h>
+#include <task/http_server.h>
 #include <task/task_error.h>
 #include <task/udp_socket.h>
 #include <wire/sock_addr.h>
@@ -48,7 +49,7 @@
 {
 	char address[IP_ADDR_TEXT_BYTES];
 
-	target->http = evhttp_new(task_base(task));
+	target->http = http_server_new(task_base(task));
 	evhttp_set_gencb(target->http, on_request, target);
 	ip_addr_format(&target->endpoint.addr, address);
 	if (evhttp_bind_socket(target->http, address, target->endpoint.port) ==
