Ask the store sooner when followed nodes were removed

Cause: a node that follows others waited 700 ms for the first reply of each of two nodes that had been removed before it read the store. With the 2 s until the failure of its source was known, a flow reached a host 3,066 to 3,114 ms after the host had reported that it leaves (bound 3,000).

Change: the timeout of a watch's first call depends on the kind of source: 300 ms for a node, which replies from memory, 700 ms for the store as before.

--- a/daemon/src/relay/feed_reader.c
+++ b/daemon/src/relay/feed_reader.c
@@ -12,23 +12,24 @@
  * detected within two seconds, because a configuration must be in force on all
  * nodes within 3 s, and the nodes that read from this one get it later still. A
  * slow store takes about 400 ms to reply.
+ *
+ * first_timeout_ms is for the first call of a watch that continues from a known
+ * revision or from a peer's snapshot. The source replies to it at once, which
+ * shows early that it works. A node may ask two peers that were removed before
+ * it asks the store, and a peer replies from memory.
  */
 static const struct {
 	uint32_t read_timeout_ms;
 	uint32_t wait_ms;
 	uint32_t watch_timeout_ms;
+	uint32_t first_timeout_ms;
 } timeouts[] = {
-	[RELAY_SOURCE_STORE] = {2000, 1000, 1800},
-	[RELAY_SOURCE_PEER] = {500, 1000, 1500},
+	[RELAY_SOURCE_STORE] = {2000, 1000, 1800, 700},
+	[RELAY_SOURCE_PEER] = {500, 1000, 1500, 300},
 };
 
-/*
- * wait_ms and timeout_ms of the first call of a watch that continues from a
- * known revision or from a peer's snapshot. The source replies at once, which
- * shows early that it works; a slow store takes about 400 ms.
- */
+/* wait_ms of the first call of a watch: the source replies at once. */
 #define FIRST_WAIT_MS 1
-#define FIRST_TIMEOUT_MS 700
 
 struct feed_reader {
 	struct feed_reader_options options;
@@ -95,7 +96,7 @@
 
 	if (kind == RELAY_SOURCE_PEER)
 		return open_watch(reader, revision, FIRST_WAIT_MS,
-				  FIRST_TIMEOUT_MS, error);
+				  timeouts[kind].first_timeout_ms, error);
 	return open_watch(reader, revision, timeouts[kind].wait_ms,
 			  timeouts[kind].watch_timeout_ms, error);
 }
@@ -124,8 +125,10 @@
 	struct kv_callback callback = {reader, on_read};
 
 	if (reader->options.revision != 0)
-		return open_watch(reader, reader->options.revision,
-				  FIRST_WAIT_MS, FIRST_TIMEOUT_MS, error);
+		return open_watch(
+			reader, reader->options.revision, FIRST_WAIT_MS,
+			timeouts[reader->options.source.kind].first_timeout_ms,
+			error);
 	if (reader->options.may_be_stale)
 		kv_client_range_stale(reader->client, ALL_KEYS, &callback);
 	else
--- a/daemon/test/feed_task_test.c
+++ b/daemon/test/feed_task_test.c
@@ -7,6 +7,10 @@
 #include <signal.h>
 #include <stdatomic.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <wire/peer_codec.h>
+#include <wire/sock_addr.h>
 
 #define STEP_COUNT_MAX 10
 
@@ -16,6 +20,20 @@
 /* The tightest deployments require a configuration in force within 3 s. */
 #define CONFIG_DEADLINE_MS 3000
 
+/*
+ * What is left of CONFIG_DEADLINE_MS for a node that follows another one: 1.5 s
+ * may pass until it notices that the other node is silent, and 0.7 s until the
+ * store is found to be slow.
+ */
+#define FALLBACK_DEADLINE_MS 800
+
+/* Covers several changes between the store and the nodes that are listed. */
+#define SERIES_MS 6000
+
+/* Nodes that were removed: listed in the store and with the most bandwidth. */
+#define REMOVED_NODE_COUNT 2
+#define REMOVED_NODE_MBPS 1000
+
 enum step_action {
 	END,
 	/*
@@ -41,6 +59,13 @@
 	EXPECT_FOLLOWER_VERSION,
 	/* As EXPECT_VERSION, but within CONFIG_DEADLINE_MS. */
 	EXPECT_VERSION_BY_DEADLINE,
+	/* Lists nodes in the store that accept connections but never reply. */
+	LIST_REMOVED_NODES,
+	/*
+	 * Writes versions from `value` on, one after the other, and expects
+	 * each within FALLBACK_DEADLINE_MS.
+	 */
+	EXPECT_SERIES,
 };
 
 /* value is a configuration version or an HTTP status, or 0 if not used. */
@@ -119,6 +144,12 @@
 	  {EXPECT_FOLLOWER_VERSION, 1},
 	  {WRITE_CONFIG, 2},
 	  {EXPECT_FOLLOWER_VERSION, 2}}},
+	{"follower-of-nodes-that-were-removed",
+	 {{WRITE_CONFIG, 1},
+	  {LIST_REMOVED_NODES, 0},
+	  {START_NODE, 0},
+	  {EXPECT_VERSION, 1},
+	  {EXPECT_SERIES, 2}}},
 	{"node-that-starts-while-all-lost-the-store",
 	 {{WRITE_CONFIG, 1},
 	  {START_NODE, 0},
@@ -147,6 +178,7 @@
 	struct node node;
 	struct node follower;
 	char seeds[ENDPOINT_TEXT_BYTES];
+	int removed_nodes[REMOVED_NODE_COUNT];
 };
 
 static void handle(void *context, struct message *message)
@@ -206,6 +238,35 @@
 	start_node(follower);
 }
 
+/* The kernel accepts connections to the socket, but nobody replies on them. */
+static int listen_silently(const struct endpoint *endpoint)
+{
+	struct sockaddr_storage storage;
+	socklen_t length = sock_addr_from_endpoint(&storage, endpoint);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&storage, length), 0);
+	ck_assert_int_eq(listen(fd, SOMAXCONN), 0);
+	return fd;
+}
+
+static void list_removed_nodes(struct fixture *fixture)
+{
+	for (uint32_t i = 0; i < REMOVED_NODE_COUNT; i++) {
+		struct endpoint endpoint = loopback_free_endpoint();
+		char *name = g_strdup_printf("removed-%u", i);
+		char *key = peer_codec_key(name);
+		char *value = peer_codec_encode(&endpoint, "north-a",
+						REMOVED_NODE_MBPS);
+
+		fixture->removed_nodes[i] = listen_silently(&endpoint);
+		fake_kv_put(fixture->kv, key, value);
+		g_free(value);
+		g_free(key);
+		g_free(name);
+	}
+}
+
 static void wait_for(const struct node *node, uint32_t version,
 		     uint32_t limit_ms)
 {
@@ -217,6 +278,17 @@
 	ck_assert_uint_eq(atomic_load(&node->sink.version), version);
 }
 
+static void run_series(struct fixture *fixture, uint32_t version)
+{
+	int64_t end_ms = task_now_ms() + SERIES_MS;
+
+	while (task_now_ms() < end_ms) {
+		relay_fixture_write_config(fixture->kv, version);
+		wait_for(&fixture->node, version, FALLBACK_DEADLINE_MS);
+		version++;
+	}
+}
+
 static void set_fault(struct fixture *fixture, const struct step *step)
 {
 	struct fake_kv_fault fault = {
@@ -256,6 +328,12 @@
 	case EXPECT_VERSION_BY_DEADLINE:
 		wait_for(&fixture->node, step->value, CONFIG_DEADLINE_MS);
 		break;
+	case LIST_REMOVED_NODES:
+		list_removed_nodes(fixture);
+		break;
+	case EXPECT_SERIES:
+		run_series(fixture, step->value);
+		break;
 	default:
 		set_fault(fixture, step);
 	}
@@ -274,6 +352,10 @@
 		run_step(&fixture, step);
 	stop_node(&fixture.follower);
 	stop_node(&fixture.node);
+	for (uint32_t i = 0; i < REMOVED_NODE_COUNT; i++) {
+		if (fixture.removed_nodes[i] > 0)
+			close(fixture.removed_nodes[i]);
+	}
 	fake_kv_free(fixture.kv);
 	fake_kv_free(fixture.down_kv);
 }
