Keep the records of relayed flows in blocks with an index of their own

Change: a record is two cache lines, with all that a packet of an open flow needs in the first; records are taken from blocks (relay_flow_pool) and found through slots of 8 bytes (relay_flow_index).

--- a/core/include/core/relay_flow.h
+++ b/core/include/core/relay_flow.h
@@ -7,9 +7,12 @@
 /* Longer opening packets are not stored, so this node never resends them. */
 #define RELAY_OPENING_BYTES_MAX 64
 
+#define CACHE_LINE_BYTES 64
+
 /* Maximum number of targets that the opening packet of a flow is sent to. */
 #define RELAY_TRY_COUNT_MAX 3
 
+/* Values of relay_flow.state. */
 enum relay_flow_state {
 	/* The opening packet has been sent and not answered yet. */
 	RELAY_FLOW_OPENING,
@@ -27,29 +30,32 @@
  * not break an open flow, as the caller's packets carry the target's tag. tag
  * identifies the flow's target, tried_tags the targets that the opening packet
  * was sent to. sequence is the sequence number of the opening packet, and
- * opening a copy of the packet, opening_bytes long, 0 if it was not stored.
- * sent_ms is when it was last sent, first_seen_ms when this node first saw the
- * flow, used_ms when it last saw a packet of the flow, and reordered_ms when
- * the flow last moved to the end of its list in the flow table. is_counted: the
- * flow is included in the open flows of its target.
+ * opening a copy of the packet, opening_bytes long, which the flow table owns;
+ * opening_bytes is 0 if it was not stored. sent_ms is when it was last sent,
+ * first_seen_ms when this node first saw the flow, used_ms when it last saw a
+ * packet of the flow, and reordered_ms when the flow last moved to the end of
+ * its list in the flow table. is_counted: the flow is included in the open
+ * flows of its target. number identifies the record in its pool. What each
+ * packet of an open flow uses stands first, within one cache line.
  */
 struct relay_flow {
-	struct hash128 hash;
-	enum relay_flow_state state;
+	_Alignas(CACHE_LINE_BYTES) struct hash128 hash;
 	uint32_t tag;
 	uint32_t sequence;
-	uint32_t service_id;
-	int64_t first_seen_ms;
-	int64_t sent_ms;
 	int64_t used_ms;
 	int64_t reordered_ms;
-	uint32_t tried_tags[RELAY_TRY_COUNT_MAX];
+	int64_t first_seen_ms;
+	int64_t sent_ms;
+	uint32_t service_id;
+	uint8_t state;
 	uint8_t try_count;
 	uint8_t opening_bytes;
 	bool is_counted;
-	uint8_t opening[RELAY_OPENING_BYTES_MAX];
 	TAILQ_ENTRY(relay_flow) by_use;
 	TAILQ_ENTRY(relay_flow) by_sent;
+	uint8_t *opening;
+	uint32_t tried_tags[RELAY_TRY_COUNT_MAX];
+	uint32_t number;
 };
 
 #endif
--- a/core/include/core/relay_flow_table.h
+++ b/core/include/core/relay_flow_table.h
@@ -24,6 +24,8 @@
 			    struct relay_flow *flow, int64_t now_ms);
 void relay_flow_table_mark_sent(struct relay_flow_table *table,
 				struct relay_flow *flow, int64_t now_ms);
+void relay_flow_table_set_opening(struct relay_flow *flow, const uint8_t *bytes,
+				  uint32_t length_bytes);
 void relay_flow_table_set_state(struct relay_flow_table *table,
 				struct relay_flow *flow,
 				enum relay_flow_state state);
--- a/core/src/relay/relay_flow_table.c
+++ b/core/src/relay/relay_flow_table.c
@@ -1,5 +1,7 @@
 #include <core/relay_flow_table.h>
 
+#include "relay_flow_index.h"
+
 #include <glib.h>
 
 TAILQ_HEAD(relay_flow_list, relay_flow);
@@ -18,32 +20,21 @@
  * their packets were sent.
  */
 struct relay_flow_table {
-	GHashTable *flows;
+	struct relay_flow_pool *pool;
+	struct relay_flow_index *index;
 	struct relay_flow_list counted;
 	struct relay_flow_list uncounted;
 	struct relay_flow_list by_sent;
 	uint32_t capacity;
 };
 
-static guint key_hash(gconstpointer key)
-{
-	const struct hash128 *flow_hash = key;
-
-	return (guint)flow_hash->low;
-}
-
-static gboolean key_equal(gconstpointer a, gconstpointer b)
-{
-	return hash128_equal(*(const struct hash128 *)a,
-			     *(const struct hash128 *)b);
-}
-
 /* Creates an empty table. Free it with relay_flow_table_free. */
 struct relay_flow_table *relay_flow_table_new(uint32_t capacity)
 {
 	struct relay_flow_table *table = g_new0(struct relay_flow_table, 1);
 
-	table->flows = g_hash_table_new_full(key_hash, key_equal, NULL, g_free);
+	table->pool = relay_flow_pool_new();
+	table->index = relay_flow_index_new(table->pool);
 	table->capacity = capacity;
 	TAILQ_INIT(&table->counted);
 	TAILQ_INIT(&table->uncounted);
@@ -51,12 +42,23 @@
 	return table;
 }
 
+static void free_openings(struct relay_flow_list *list)
+{
+	struct relay_flow *flow;
+
+	TAILQ_FOREACH (flow, list, by_use)
+		g_free(flow->opening);
+}
+
 /* Frees the table and its flows; NULL is allowed. */
 void relay_flow_table_free(struct relay_flow_table *table)
 {
 	if (!table)
 		return;
-	g_hash_table_destroy(table->flows);
+	free_openings(&table->counted);
+	free_openings(&table->uncounted);
+	relay_flow_index_free(table->index);
+	relay_flow_pool_free(table->pool);
 	g_free(table);
 }
 
@@ -64,13 +66,13 @@
 struct relay_flow *relay_flow_table_find(struct relay_flow_table *table,
 					 struct hash128 flow_hash)
 {
-	return g_hash_table_lookup(table->flows, &flow_hash);
+	return relay_flow_index_find(table->index, flow_hash);
 }
 
 /* Returns whether a flow has to be evicted before another is added. */
 bool relay_flow_table_is_full(const struct relay_flow_table *table)
 {
-	return g_hash_table_size(table->flows) >= table->capacity;
+	return relay_flow_index_count(table->index) >= table->capacity;
 }
 
 /* Adds a flow, which must not be in the table, in state opening. */
@@ -78,14 +80,14 @@
 					struct hash128 flow_hash,
 					int64_t now_ms)
 {
-	struct relay_flow *flow = g_new0(struct relay_flow, 1);
+	struct relay_flow *flow = relay_flow_pool_take(table->pool);
 
 	flow->hash = flow_hash;
 	flow->used_ms = now_ms;
 	flow->reordered_ms = now_ms;
 	flow->sent_ms = now_ms;
 	flow->first_seen_ms = now_ms;
-	g_hash_table_insert(table->flows, &flow->hash, flow);
+	relay_flow_index_add(table->index, flow);
 	TAILQ_INSERT_TAIL(&table->uncounted, flow, by_use);
 	TAILQ_INSERT_TAIL(&table->by_sent, flow, by_sent);
 	return flow;
@@ -98,6 +100,26 @@
 		TAILQ_REMOVE(&table->by_sent, flow, by_sent);
 }
 
+static void forget_opening(struct relay_flow *flow)
+{
+	g_clear_pointer(&flow->opening, g_free);
+	flow->opening_bytes = 0;
+}
+
+/*
+ * Stores a copy of the flow's opening packet in place of a previous one, until
+ * the flow is open. A packet longer than RELAY_OPENING_BYTES_MAX is not stored.
+ */
+void relay_flow_table_set_opening(struct relay_flow *flow, const uint8_t *bytes,
+				  uint32_t length_bytes)
+{
+	forget_opening(flow);
+	if (length_bytes > RELAY_OPENING_BYTES_MAX)
+		return;
+	flow->opening = g_memdup2(bytes, length_bytes);
+	flow->opening_bytes = (uint8_t)length_bytes;
+}
+
 static struct relay_flow_list *lru_list(struct relay_flow_table *table,
 					const struct relay_flow *flow)
 {
@@ -109,8 +131,10 @@
 			     struct relay_flow *flow)
 {
 	remove_from_opening(table, flow);
+	forget_opening(flow);
 	TAILQ_REMOVE(lru_list(table, flow), flow, by_use);
-	g_hash_table_remove(table->flows, &flow->hash);
+	relay_flow_index_remove(table->index, flow);
+	relay_flow_pool_give_back(table->pool, flow);
 }
 
 /* Records the use of a flow by a packet. */
@@ -141,7 +165,9 @@
 				enum relay_flow_state state)
 {
 	remove_from_opening(table, flow);
-	flow->state = state;
+	flow->state = (uint8_t)state;
+	if (state == RELAY_FLOW_OPEN)
+		forget_opening(flow);
 }
 
 /* Sets whether the flow is counted as load of its target. */
@@ -188,5 +214,5 @@
 /* Returns the number of flows. */
 uint32_t relay_flow_table_count(const struct relay_flow_table *table)
 {
-	return g_hash_table_size(table->flows);
+	return relay_flow_index_count(table->index);
 }
--- a/core/src/relay/relay_opening.c
+++ b/core/src/relay/relay_opening.c
@@ -1,7 +1,6 @@
 #include "relay_director_state.h"
 
 #include <core/relay_choice.h>
-#include <string.h>
 
 /*
  * A target that leaves two opening packets in a row unanswered has stopped or
@@ -180,11 +179,7 @@
 	flow->first_seen_ms = now_ms;
 	flow->try_count = 0;
 	flow->service_id = pick_service(director, route);
-	flow->opening_bytes = 0;
-	if (length_bytes <= RELAY_OPENING_BYTES_MAX) {
-		memcpy(flow->opening, bytes, length_bytes);
-		flow->opening_bytes = (uint8_t)length_bytes;
-	}
+	relay_flow_table_set_opening(flow, bytes, length_bytes);
 	return assign_target(director, flow, REASON_LEAST_LOADED, now_ms);
 }
 
@@ -195,6 +190,7 @@
  */
 static struct relay_verdict
 handle_retransmission(struct relay_director *director, struct relay_flow *flow,
+		      const uint8_t *bytes, uint32_t length_bytes,
 		      int64_t now_ms)
 {
 	const struct relay_target *entry =
@@ -207,8 +203,10 @@
 
 	if (is_due && flow->state == RELAY_FLOW_OPENING)
 		record_timeout(director, flow, now_ms);
-	if (!entry || is_due)
+	if (!entry || is_due) {
+		relay_flow_table_set_opening(flow, bytes, length_bytes);
 		return assign_target(director, flow, REASON_UNANSWERED, now_ms);
+	}
 	relay_verdict_set_target(&verdict, entry, REASON_RECORD);
 	return verdict;
 }
@@ -243,7 +241,8 @@
 					      .is_new_decision = true};
 	if (flow && flow->sequence == packet->sequence) {
 		relay_flow_table_touch(director->flows, flow, now_ms);
-		return handle_retransmission(director, flow, now_ms);
+		return handle_retransmission(director, flow, bytes,
+					     length_bytes, now_ms);
 	}
 	if (!flow)
 		flow = add_flow(director, flow_hash, now_ms);
