Let nodes that start together not wait for each other's slots

If two former homes completed it before the view that made this node wait for the first of them, it waited for a handover that was over. - The first node to serve waited for the records of a node that had been home while none served. That node is joining, keeps its records, and itself waited for the handover from the first.

Change: a slot remembers the last four nodes that completed a handover (handover_senders), and is announced to a node even if records of that very node are outstanding.

Ruled out: lost messages (none are lost in the test).

--- a/core/src/flows/flow_director_state.h
+++ b/core/src/flows/flow_director_state.h
@@ -2,6 +2,7 @@
 #define CORE_FLOW_DIRECTOR_STATE_H
 
 #include "address_map.h"
+#include "handover_senders.h"
 
 #include <core/flow_director.h>
 #include <core/flow_outbox.h>
@@ -32,8 +33,8 @@
 struct director_slot {
 	uint64_t pending_from;
 	int64_t pending_since_ms;
-	/* The node that has reported its handover of this slot as complete. */
-	uint64_t synced_from;
+	/* The nodes that have reported their handovers of it as complete. */
+	struct handover_senders synced_from;
 	uint64_t handover_to;
 	uint64_t base_revision;
 	int64_t base_until_ms;
--- a/core/src/flows/flow_handover.c
+++ b/core/src/flows/flow_handover.c
@@ -159,13 +159,16 @@
 
 /*
  * Returns whether a slot can be announced to a node. A slot whose records this
- * node is still waiting for cannot.
+ * node is still waiting for cannot, unless it waits for the receiver: a joining
+ * node that was the home while no node served keeps its records, so both would
+ * wait for each other.
  */
 static bool can_announce(const struct director_slot *slot, uint64_t to_node_id)
 {
 	return slot->handover_to == to_node_id &&
 	       slot->handover == HANDOVER_RUNNING &&
-	       slot->pending_from == NODE_NONE;
+	       (slot->pending_from == NODE_NONE ||
+		slot->pending_from == to_node_id);
 }
 
 /* Announces the slots, from first on, that have the same base as first. */
--- a/core/src/flows/flow_packet.c
+++ b/core/src/flows/flow_packet.c
@@ -341,7 +341,8 @@
 	if (is_local_slot(director, packet) &&
 	    packet->slot->pending_from != NODE_NONE &&
 	    packet->slot->pending_from != packet->event->from_node_id &&
-	    packet->slot->synced_from != packet->event->from_node_id)
+	    !handover_senders_contains(&packet->slot->synced_from,
+				       packet->event->from_node_id))
 		return drop(REASON_HOP_LIMIT, service_id);
 	return resume_flow(director, packet, history);
 }
--- a/core/src/flows/flow_receive.c
+++ b/core/src/flows/flow_receive.c
@@ -179,7 +179,7 @@
 	 */
 	until_ms -= until_ms % BASE_EXPIRY_STEP_MS;
 
-	slot->synced_from = from_node_id;
+	handover_senders_add(&slot->synced_from, from_node_id);
 	if (slot->pending_from == from_node_id)
 		slot->pending_from = NODE_NONE;
 	/* The older of two bases is correct for more of the flows. */
--- a/core/src/flows/flow_view_change.c
+++ b/core/src/flows/flow_view_change.c
@@ -47,13 +47,15 @@
 {
 	/* The previous home completed its handover before this view arrived. */
 	if (previous && previous->home != NODE_NONE &&
-	    slot->synced_from == previous->home &&
+	    handover_senders_contains(&slot->synced_from, previous->home) &&
 	    slot->base_until_ms > change->now_ms)
 		return NODE_NONE;
 	if (!previous ||
 	    node_state_in(director->view, director->self_id) == NODE_JOINING)
 		return current->home != director->self_id &&
-				       current->home != slot->synced_from
+				       !handover_senders_contains(
+					       &slot->synced_from,
+					       current->home)
 			       ? current->home
 			       : NODE_NONE;
 	if (previous->home != director->self_id &&
@@ -82,7 +84,7 @@
 				const struct slot_homes *previous,
 				const struct slot_homes *current)
 {
-	bool is_waiting = slot->synced_from == NODE_NONE ||
+	bool is_waiting = handover_senders_is_empty(&slot->synced_from) ||
 			  slot->pending_from != NODE_NONE;
 
 	return self_state == NODE_JOINING && previous &&
@@ -163,7 +165,7 @@
 	if (handover_to == slot->handover_to)
 		return;
 	slot->handover_to = handover_to;
-	slot->synced_from = NODE_NONE;
+	slot->synced_from = (struct handover_senders){{NODE_NONE}};
 	director->has_running_handovers = true;
 	slot->handover =
 		handover_to == NODE_NONE ? HANDOVER_NONE : HANDOVER_RUNNING;
