Count the calls to the store by cause

The platform charges each call, and docs and metrics knew only their sum. The counter has a label for the cause now, and a log line every 10 s and at the stop gives the calls of the process.

--- a/daemon/src/relay/feed_counters.c
+++ b/daemon/src/relay/feed_counters.c
@@ -1,8 +1,19 @@
 #include "feed_counters.h"
 
+#define STORE_CALLS(cause, label)                                              \
+	[FEED_STORE_CALLS + (cause)] = {                                       \
+		"shallot_feed_store_calls_total{cause=\"" label "\"}",         \
+		"calls to the store, by cause", COUNTER_TOTAL}
+
 static const struct counter_row rows[FEED_COUNTER_COUNT] = {
-	[FEED_STORE_CALLS] = {"shallot_feed_store_calls_total",
-			      "calls to the store", COUNTER_TOTAL},
+	STORE_CALLS(KV_CALL_KEY, "key"),
+	STORE_CALLS(KV_CALL_PAGE, "page"),
+	STORE_CALLS(KV_CALL_STALE_PAGE, "stale_page"),
+	STORE_CALLS(KV_CALL_WATCH, "watch"),
+	STORE_CALLS(KV_CALL_WRITE, "write"),
+	STORE_CALLS(KV_CALL_LEASE, "lease"),
+	STORE_CALLS(KV_CALL_RENEWAL, "renewal"),
+	STORE_CALLS(KV_CALL_REVOCATION, "revocation"),
 	[FEED_SNAPSHOT_READS] = {"shallot_feed_whole_reads_total",
 				 "readings of all that the store holds",
 				 COUNTER_TOTAL},
--- a/daemon/src/relay/feed_follow.c
+++ b/daemon/src/relay/feed_follow.c
@@ -42,22 +42,9 @@
 	return feed->source.kind == RELAY_SOURCE_STORE;
 }
 
-/* Returns the number of calls to the store so far, without those to peers. */
-uint64_t feed_follow_call_count(const struct feed_task *feed)
-{
-	uint64_t count =
-		feed->past_call_count + kv_client_call_count(feed->client);
-
-	if (feed->reader && feed_follow_is_direct(feed))
-		count += feed_reader_call_count(feed->reader);
-	return count;
-}
-
 /* Stops reading from the current source. */
 void feed_follow_stop(struct feed_task *feed)
 {
-	if (feed->reader && feed_follow_is_direct(feed))
-		feed->past_call_count += feed_reader_call_count(feed->reader);
 	g_clear_pointer(&feed->reader, feed_reader_free);
 }
 
@@ -238,6 +225,7 @@
 				    : kv_mirror_revision(feed->mirror),
 		.may_be_stale = !feed->has_read_snapshot,
 		.timing = {feed, feed_follow_record_call},
+		.store_calls = &feed->calls.counts,
 		.context = feed,
 		.on_snapshot = on_snapshot,
 		.on_changes = on_changes,
--- a/daemon/src/relay/feed_reader.c
+++ b/daemon/src/relay/feed_reader.c
@@ -151,9 +151,10 @@
 		.timeout_ms = timeouts[options->source.kind].read_timeout_ms,
 	};
 
-	if (is_store)
+	if (is_store) {
 		client.timing = options->timing;
-
+		client.counts = options->store_calls;
+	}
 	reader->options = *options;
 	reader->client = kv_client_new(&client, error);
 	if (reader->client && start(reader, error))
@@ -182,9 +183,3 @@
 	kv_client_free(reader->client);
 	g_free(reader);
 }
-
-/* Returns the number of calls that the reader has made to its source. */
-uint64_t feed_reader_call_count(const struct feed_reader *reader)
-{
-	return kv_client_call_count(reader->client);
-}
--- a/daemon/src/relay/feed_reader.h
+++ b/daemon/src/relay/feed_reader.h
@@ -28,8 +28,9 @@
 	struct endpoint store;
 	int64_t revision;
 	bool may_be_stale;
-	/* Called for calls to the store, not for those to peers. */
+	/* For calls to the store, not for those to peers. */
 	struct kv_duration_callback timing;
+	struct kv_call_counts *store_calls;
 	void *context;
 	void (*on_snapshot)(void *context, const struct kv_reply *reply);
 	void (*on_changes)(void *context, const struct kv_reply *reply);
@@ -41,6 +42,5 @@
 				    GError **error);
 void feed_reader_set_pause(struct feed_reader *reader, uint32_t pause_ms);
 void feed_reader_free(struct feed_reader *reader);
-uint64_t feed_reader_call_count(const struct feed_reader *reader);
 
 #endif
--- a/daemon/src/relay/feed_task.c
+++ b/daemon/src/relay/feed_task.c
@@ -31,8 +31,7 @@
 	feed_follow_tick(feed);
 	if (feed->is_live)
 		node_entry_tick(feed->entry, feed->mirror, task_now_ms());
-	counter_set_assign(counters, FEED_STORE_CALLS,
-			   feed_follow_call_count(feed));
+	feed_calls_report(&feed->calls, counters, feed->log, task_now_ms());
 	counter_set_assign(counters, FEED_IS_LIVE, feed->is_live);
 	counter_set_assign(counters, FEED_IS_DIRECT,
 			   feed_follow_is_direct(feed));
@@ -58,6 +57,7 @@
 		.server = feed->options.settings->platform.store,
 		.timeout_ms = WRITE_TIMEOUT_MS,
 		.timing = {feed, feed_follow_record_call},
+		.counts = &feed->calls.counts,
 	};
 
 	feed->client = kv_client_new(&options, error);
@@ -150,6 +150,7 @@
 {
 	struct feed_task *feed = context;
 
+	feed_calls_log(&feed->calls, feed->log, task_now_ms());
 	timer_free(feed->tick_timer);
 	timer_free(feed->retry_timer);
 	feed_follow_stop(feed);
--- a/daemon/src/relay/feed_task_state.h
+++ b/daemon/src/relay/feed_task_state.h
@@ -3,6 +3,7 @@
 
 #include <daemon/feed_task.h>
 
+#include "feed_calls.h"
 #include "feed_counters.h"
 #include "feed_reader.h"
 #include "feed_times.h"
@@ -16,7 +17,7 @@
  * State shared by feed_task.c and feed_follow.c.
  * - mirror is the copy of the store.
  * - source is what reader has been reading from since source_since_ms.
- * - past_call_count counts the store calls of earlier readers.
+ * - calls counts the calls to the store, not those to peers.
  * - is_live: a watch on the source keeps the mirror current.
  * - is_snapshot_needed: the next reader must start with a snapshot.
  * - has_replied: the current source has replied to a watch call.
@@ -37,7 +38,7 @@
 	struct timer *tick_timer;
 	struct timer *retry_timer;
 	GRand *random;
-	uint64_t past_call_count;
+	struct feed_calls calls;
 	int64_t source_since_ms;
 	/* When a reply last confirmed that the mirror is current, or 0. */
 	int64_t confirmed_ms;
@@ -52,6 +53,5 @@
 void feed_follow_tick(struct feed_task *feed);
 bool feed_follow_is_direct(const struct feed_task *feed);
 void feed_follow_record_call(void *context, uint32_t duration_ms);
-uint64_t feed_follow_call_count(const struct feed_task *feed);
 
 #endif
