--- a/daemon/test/feed_task_test.c
+++ b/daemon/test/feed_task_test.c
@@ -59,6 +59,8 @@
 	EXPECT_FOLLOWER_VERSION,
 	/* As EXPECT_VERSION, but within CONFIG_DEADLINE_MS. */
 	EXPECT_VERSION_BY_DEADLINE,
+	/* Waits until the store lists `value` nodes, as the node sees it. */
+	EXPECT_NODE_COUNT,
 	/* Lists nodes in the store that accept connections but never reply. */
 	LIST_REMOVED_NODES,
 	/*
@@ -144,6 +146,13 @@
 	  {EXPECT_FOLLOWER_VERSION, 1},
 	  {WRITE_CONFIG, 2},
 	  {EXPECT_FOLLOWER_VERSION, 2}}},
+	{"node-without-the-store-is-listed-through-another",
+	 {{WRITE_CONFIG, 1},
+	  {START_NODE, 0},
+	  {EXPECT_VERSION, 1},
+	  {EXPECT_NODE_COUNT, 1},
+	  {START_FOLLOWER, 0},
+	  {EXPECT_NODE_COUNT, 2}}},
 	{"follower-of-nodes-that-were-removed",
 	 {{WRITE_CONFIG, 1},
 	  {LIST_REMOVED_NODES, 0},
@@ -159,10 +168,14 @@
 	  {EXPECT_FOLLOWER_VERSION, 1}}},
 };
 
-/* A task that stores the version of the last configuration it has received. */
+/*
+ * A task that stores the version of the last configuration and the number of
+ * nodes that it has received.
+ */
 struct sink {
 	struct task *task;
 	atomic_uint version;
+	atomic_uint node_count;
 };
 
 struct node {
@@ -191,6 +204,8 @@
 		atomic_store(
 			&sink->version,
 			(uint32_t)relay_route_table_version(update->routes));
+	if (update->peers)
+		atomic_store(&sink->node_count, update->peers->len);
 	message_free(message);
 }
 
@@ -267,15 +282,20 @@
 	}
 }
 
-static void wait_for(const struct node *node, uint32_t version,
-		     uint32_t limit_ms)
+static void wait_until(const atomic_uint *value, uint32_t expected,
+		       uint32_t limit_ms)
 {
 	int64_t end_ms = task_now_ms() + limit_ms;
 
-	while (atomic_load(&node->sink.version) != version &&
-	       task_now_ms() < end_ms)
+	while (atomic_load(value) != expected && task_now_ms() < end_ms)
 		g_usleep(POLL_INTERVAL_US);
-	ck_assert_uint_eq(atomic_load(&node->sink.version), version);
+	ck_assert_uint_eq(atomic_load(value), expected);
+}
+
+static void wait_for(const struct node *node, uint32_t version,
+		     uint32_t limit_ms)
+{
+	wait_until(&node->sink.version, version, limit_ms);
 }
 
 static void run_series(struct fixture *fixture, uint32_t version)
@@ -328,6 +348,10 @@
 	case EXPECT_VERSION_BY_DEADLINE:
 		wait_for(&fixture->node, step->value, CONFIG_DEADLINE_MS);
 		break;
+	case EXPECT_NODE_COUNT:
+		wait_until(&fixture->node.sink.node_count, step->value,
+			   TIMEOUT_MS);
+		break;
 	case LIST_REMOVED_NODES:
 		list_removed_nodes(fixture);
 		break;
