--- a/core/test/flow_join_test.c
+++ b/core/test/flow_join_test.c
@@ -178,12 +178,98 @@
 }
 END_TEST
 
+/* What a node does with a packet of a flow that it has no record of. */
+static const struct {
+	const char *name;
+	uint32_t node_count;
+	enum node_state self_state;
+	bool is_opening;
+	enum placement_kind kind;
+} packet_rows[] = {
+	{"alone-and-joining-resumes-nothing", 1, NODE_JOINING, false,
+	 PLACE_DROP},
+	{"alone-and-joining-opens-flows", 1, NODE_JOINING, true,
+	 PLACE_TO_TARGET},
+	{"alone-and-serving-resumes", 1, NODE_SERVING, false, PLACE_TO_TARGET},
+	{"all-joining-resume", 3, NODE_JOINING, false, PLACE_TO_TARGET},
+};
+
+static struct rule_set *make_rules(void)
+{
+	struct rule_set *rules = rule_set_new(1);
+	struct rule *rule = g_new0(struct rule, 1);
+
+	rule->service.service_id = 1;
+	rule->generation = 1;
+	rule->address_count = 1;
+	rule->addresses = g_new0(struct endpoint, 1);
+	endpoint_parse(&rule->addresses[0], "10.0.0.1:80");
+	rule->target_count = 1;
+	rule->targets = g_new0(struct target, 1);
+	endpoint_parse(&rule->targets[0].endpoint, "10.1.0.1:80");
+	rule->targets[0].service_id = 1;
+	rule->targets[0].weight = 1;
+	rule->targets[0].target_id = target_id_of(&rule->targets[0]);
+	rule->comment = g_strdup("asked by the test");
+	rule_set_add(rules, rule);
+	return rules;
+}
+
+/* A packet whose slot's home is this node if no node serves. */
+static struct packet_event make_packet(const struct node_view *view,
+				       bool is_opening)
+{
+	struct packet_event event = {
+		.kind = is_opening ? PACKET_FIRST : PACKET_MIDDLE,
+		.key.protocol = FLOW_PROTOCOL_TCP,
+	};
+	struct home_map *homes = home_map_new(view);
+
+	endpoint_parse(&event.key.service, "10.0.0.1:80");
+	endpoint_parse(&event.key.caller, "192.0.2.1:1");
+	while (home_map_at(homes, home_slot(flow_key_hash(&event.key, 0).low))
+		       ->home != SELF_ID)
+		event.key.caller.port++;
+	home_map_free(homes);
+	return event;
+}
+
+START_TEST(test_packet)
+{
+	struct flow_director_options options = {
+		.flow_capacity = 64,
+		.control_bytes_per_s = 100000,
+		.callbacks = {.send = drop_message},
+	};
+	struct flow_director *director = flow_director_new(&options);
+	struct rule_set *rules = make_rules();
+	struct node nodes[NODE_COUNT] = {
+		{.node_id = SELF_ID, .state = packet_rows[_i].self_state},
+		{.node_id = NODE_A, .state = NODE_JOINING},
+		{.node_id = NODE_B, .state = NODE_JOINING}};
+	struct node_view *view =
+		node_view_new(SELF_ID, 1, nodes, packet_rows[_i].node_count);
+	struct packet_event event =
+		make_packet(view, packet_rows[_i].is_opening);
+
+	test_row("flow_join", packet_rows[_i].name);
+	flow_director_set_rules(director, rules, 0);
+	flow_director_set_view(director, view, 0);
+	ck_assert_int_eq(flow_director_place_packet(director, &event, 1).kind,
+			 packet_rows[_i].kind);
+	node_view_free(view);
+	rule_set_free(rules);
+	flow_director_free(director);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("flow_join");
 	TCase *tcase = tcase_create("join");
 
 	tcase_add_loop_test(tcase, test_join, 0, G_N_ELEMENTS(rows));
+	tcase_add_loop_test(tcase, test_packet, 0, G_N_ELEMENTS(packet_rows));
 	suite_add_tcase(suite, tcase);
 	return test_main(suite);
 }
