--- a/daemon/src/relay/relay_forward.c
+++ b/daemon/src/relay/relay_forward.c
@@ -9,7 +9,9 @@
 {
 	return (struct relay_log_state){
 		.version = relay_director_config_version(relay->director),
-		.update_age_ms = now_ms - relay->last_update_ms,
+		.update_age_ms = relay->last_update_ms == 0
+					 ? RELAY_LOG_NO_UPDATE
+					 : now_ms - relay->last_update_ms,
 	};
 }
 
--- a/daemon/src/relay/relay_log.h
+++ b/daemon/src/relay/relay_log.h
@@ -7,6 +7,9 @@
 #include <daemon/store_update_message.h>
 #include <task/log.h>
 
+/* The update age of a node that has had no update from the store yet. */
+#define RELAY_LOG_NO_UPDATE (-1)
+
 /*
  * The state that a decision is based on besides the packet: the version of the
  * configuration and the time since the last update from the store.
