--- a/core/include/core/node_view.h
+++ b/core/include/core/node_view.h
@@ -18,6 +18,7 @@
 uint64_t node_view_self_id(const struct node_view *view);
 uint64_t node_view_version(const struct node_view *view);
 uint32_t node_view_count(const struct node_view *view);
+bool node_view_is_joining_alone(const struct node_view *view);
 const struct node *node_view_at(const struct node_view *view, uint32_t index);
 const struct node *node_view_find(const struct node_view *view,
 				  uint64_t node_id);
--- a/core/src/flows/flow_packet.c
+++ b/core/src/flows/flow_packet.c
@@ -317,17 +317,6 @@
 	       packet->slot->pending_from == NODE_NONE;
 }
 
-/*
- * Returns whether this node has just started and knows no other node yet. The
- * record of a flow may then be on nodes that it will learn of within
- * milliseconds.
- */
-static bool is_alone_and_joining(const struct flow_director *director)
-{
-	return node_view_count(director->view) == 1 &&
-	       node_view_at(director->view, 0)->state == NODE_JOINING;
-}
-
 static struct placement place_locally(struct flow_director *director,
 				      const struct packet_context *packet)
 {
@@ -355,7 +344,7 @@
 	    !handover_senders_contains(&packet->slot->synced_from,
 				       packet->event->from_node_id))
 		return drop(REASON_HOP_LIMIT, service_id);
-	if (is_alone_and_joining(director))
+	if (node_view_is_joining_alone(director->view))
 		return drop(REASON_NOT_READY, service_id);
 	return resume_flow(director, packet, history);
 }
--- a/core/src/members/node_view.c
+++ b/core/src/members/node_view.c
@@ -69,6 +69,17 @@
 	return view->node_count;
 }
 
+/*
+ * Returns whether this node has just started and knows no other node yet. The
+ * records of flows may then be on nodes that it will learn of within
+ * milliseconds.
+ */
+bool node_view_is_joining_alone(const struct node_view *view)
+{
+	return node_view_count(view) == 1 &&
+	       node_view_at(view, 0)->state == NODE_JOINING;
+}
+
 /* Returns the node at an index below node_view_count. */
 const struct node *node_view_at(const struct node_view *view, uint32_t index)
 {
--- a/core/src/relay/relay_sources.c
+++ b/core/src/relay/relay_sources.c
@@ -2,6 +2,7 @@
 
 #include "relay_ranking.h"
 #include "relay_seeds.h"
+#include "store_backoff.h"
 
 /*
  * A node goes to the store once the failures of peers in a row weigh this much.
@@ -11,14 +12,6 @@
 #define FAILURE_WEIGHT_MAX 6
 #define REFUSED_PAUSE_MS 100
 
-/*
- * First backoff after a failure; it doubles up to a maximum. A node that lost
- * its connection to the store recovers soon, one that is silent does not. Calls
- * to the store are charged, unlike calls to a peer.
- */
-#define STORE_BACKOFF_MS 150
-#define STORE_BACKOFF_MAX_MS 1500
-
 /*
  * Followers that lose their peers at the same time go to the store at random
  * times within these periods per node, so that the whole fleet makes a limited
@@ -62,8 +55,7 @@
 	uint32_t attempt_count;
 	uint32_t failure_weight;
 	int64_t retry_at_ms;
-	uint32_t store_backoff_ms;
-	int64_t store_backoff_until_ms;
+	struct store_backoff store_backoff;
 	bool is_store_due;
 	bool has_store_worked;
 	bool is_trial;
@@ -85,7 +77,7 @@
 	sources->ranking = relay_ranking_new(self);
 	sources->seeds =
 		relay_seeds_new(&self->endpoint, (uint32_t)self->node_id);
-	sources->store_backoff_ms = STORE_BACKOFF_MS;
+	store_backoff_reset(&sources->store_backoff);
 	sources->trial_wait_ms = TRIAL_WAIT_MS;
 	return sources;
 }
@@ -221,16 +213,10 @@
 				     .retry_at_ms = retry_at_ms};
 }
 
-static bool is_store_in_backoff(const struct relay_sources *sources,
-				int64_t now_ms)
-{
-	return now_ms < sources->store_backoff_until_ms;
-}
-
 static bool should_use_store(const struct relay_sources *sources,
 			     bool needs_snapshot, int64_t now_ms)
 {
-	if (is_store_in_backoff(sources, now_ms))
+	if (store_backoff_is_active(&sources->store_backoff, now_ms))
 		return false;
 	return needs_snapshot || sources->is_store_due ||
 	       relay_sources_role(sources, now_ms) == RELAY_ROLE_READER;
@@ -253,9 +239,9 @@
 	peer = pick_peer(sources, now_ms);
 	if (peer)
 		return use_peer(sources, peer);
-	if (!is_store_in_backoff(sources, now_ms))
+	if (!store_backoff_is_active(&sources->store_backoff, now_ms))
 		return use_store(sources);
-	return use_none(sources, MIN(sources->store_backoff_until_ms,
+	return use_none(sources, MIN(sources->store_backoff.until_ms,
 				     now_ms + REFUSED_PAUSE_MS));
 }
 
@@ -278,13 +264,12 @@
 
 static void back_off_store(struct relay_sources *sources, int64_t now_ms)
 {
-	uint32_t delay_ms = sources->store_backoff_ms +
-			    random_below(sources, sources->store_backoff_ms) +
-			    spread_delay_ms(sources, REFUSED_SPREAD_MS, now_ms);
+	uint32_t random_ms =
+		random_below(sources, sources->store_backoff.step_ms) +
+		spread_delay_ms(sources, REFUSED_SPREAD_MS, now_ms);
 
-	sources->store_backoff_until_ms = now_ms + delay_ms;
-	sources->store_backoff_ms =
-		MIN(2 * sources->store_backoff_ms, STORE_BACKOFF_MAX_MS);
+	store_backoff_record_failure(&sources->store_backoff, random_ms,
+				     now_ms);
 }
 
 static struct relay_candidate *
@@ -329,8 +314,8 @@
 	    sources->is_store_due)
 		return;
 	sources->is_store_due = true;
-	sources->store_backoff_until_ms = MAX(
-		sources->store_backoff_until_ms,
+	store_backoff_delay(
+		&sources->store_backoff,
 		now_ms + spread_delay_ms(sources, failures[failure].spread_ms,
 					 now_ms));
 }
@@ -363,7 +348,7 @@
 		sources->trial_wait_ms = TRIAL_WAIT_MS;
 	}
 	if (sources->current_kind == RELAY_SOURCE_STORE) {
-		sources->store_backoff_ms = STORE_BACKOFF_MS;
+		store_backoff_reset(&sources->store_backoff);
 		sources->has_store_worked = true;
 	}
 }
@@ -401,6 +386,7 @@
 	if (sources->current_kind == RELAY_SOURCE_STORE)
 		return !is_reader && now_ms >= sources->trial_at_ms;
 	if (is_reader)
-		return !is_store_in_backoff(sources, now_ms);
+		return !store_backoff_is_active(&sources->store_backoff,
+						now_ms);
 	return has_better_peer(sources, now_ms);
 }
