Hold opening packets as long as callers wait, and use more readers on slow links

Nodes held opening packets for 600 ms and then reset them, but 295 nodes that read the store at the same time, on slow links and parts of a core, take longer. A reset uses up one of a caller's three attempts at once.

The number of readers depends on the bandwidth of the first node by rank: two at 200 Mbit/s as before, and half of the nodes at 2 Mbit/s.

--- a/core/src/relay/relay_director.c
+++ b/core/src/relay/relay_director.c
@@ -13,10 +13,11 @@
 
 /*
  * How long a starting node holds opening packets. Reading the store takes 20
- * to 130 ms, and about 400 ms with a large configuration on a slow link. A
- * reset instead would use up one of the caller's few attempts.
+ * to 130 ms, but up to a second if all nodes of a large fleet read it or the
+ * link is slow. A caller waits for 1.4 s; a reset instead would use up one of
+ * its few attempts while no other node is ready either.
  */
-#define START_HOLD_MS 600
+#define START_HOLD_MS 1400
 
 /* Idle timeout of flows until the configuration has been read. */
 #define IDLE_TIMEOUT_DEFAULT_MS 60000
--- a/core/src/relay/relay_ranking.c
+++ b/core/src/relay/relay_ranking.c
@@ -2,15 +2,16 @@
 
 #include <core/node.h>
 
-/* Two nodes read the store, so that updates continue if one fails. */
+/* At least two nodes read the store, so that updates go on if one fails. */
 #define READER_COUNT 2
 
 /*
- * A node that other nodes read from has at most about this many followers:
- * sending them a configuration of 60 KB takes about 120 ms on a link of 200
- * Mbit/s.
+ * A node that other nodes read from has at most about this many followers, and
+ * fewer on a slower link: sending them a configuration of 60 KB takes about 120
+ * ms at 200 Mbit/s.
  */
 #define FOLLOWER_COUNT_MAX 48
+#define FULL_LINK_MBPS 200
 
 /* A zone has at least two relays, in case one fails. */
 #define ZONE_RELAY_COUNT_MIN 2
@@ -148,10 +149,32 @@
 	return ranking->is_self_listed;
 }
 
+/* Returns how many followers the node of the highest rank can have. */
+static uint32_t follower_count_max(const struct relay_ranking *ranking)
+{
+	uint32_t link_mbps = ranking->self.link_mbps;
+
+	if (ranking->self_position > 0)
+		link_mbps = at(ranking, 0)->peer.link_mbps;
+	return CLAMP(link_mbps * FOLLOWER_COUNT_MAX / FULL_LINK_MBPS, 1,
+		     FOLLOWER_COUNT_MAX);
+}
+
 /* Returns whether there are too many nodes for all to read from the readers. */
 bool relay_ranking_is_tree(const struct relay_ranking *ranking)
 {
-	return ranking->candidates->len >= READER_COUNT * FOLLOWER_COUNT_MAX;
+	return follower_count_max(ranking) == FOLLOWER_COUNT_MAX &&
+	       ranking->candidates->len >= READER_COUNT * FOLLOWER_COUNT_MAX;
+}
+
+/* A tree needs fast links; with slow ones there are more readers instead. */
+static uint32_t reader_count(const struct relay_ranking *ranking)
+{
+	uint32_t node_count = ranking->candidates->len + 1;
+	uint32_t count = node_count / (follower_count_max(ranking) + 1);
+
+	return relay_ranking_is_tree(ranking) ? READER_COUNT
+					      : MAX(count, READER_COUNT);
 }
 
 /* Returns whether the candidate is not in backoff. */
@@ -190,7 +213,7 @@
 		(ranking->zone_count + FOLLOWER_COUNT_MAX) / FOLLOWER_COUNT_MAX;
 
 	if (group == RELAY_GROUP_READERS)
-		return READER_COUNT;
+		return reader_count(ranking);
 	return MAX(count, ZONE_RELAY_COUNT_MIN);
 }
 
