Describe the failures and fields of relay_sources

A reader of the change would ask what the four figures of a failure are and when has_store_worked is set; comments only, no instruction differs.

--- a/core/src/relay/relay_sources.c
+++ b/core/src/relay/relay_sources.c
@@ -28,6 +28,10 @@
 #define TRIAL_WAIT_MS 1000
 #define TRIAL_WAIT_MAX_MS 8000
 
+/*
+ * What a failure of a peer entails: its weight, the pause before the next
+ * source, the peer's first backoff, and the spread of calls to the store.
+ */
 static const struct {
 	uint32_t weight;
 	uint32_t pause_ms;
@@ -42,8 +46,9 @@
  * current is the address of the source in use if that is a peer. attempt_count
  * and failure_weight count peers since the last success or call to the store.
  * No source is chosen before retry_at_ms. is_store_due: the next source is the
- * store, once it is not in backoff. is_trial: the peers are asked although the
- * store works; the next trial is at trial_at_ms.
+ * store, once it is not in backoff. has_store_worked: the store has replied
+ * since it became the source. is_trial: the peers are asked although the store
+ * works; the next trial is at trial_at_ms.
  */
 struct relay_sources {
 	struct relay_peer self;
@@ -294,6 +299,7 @@
 					 failures[failure].backoff_ms, now_ms);
 }
 
+/* Returns to the store at once and waits longer before the next trial. */
 static void fail_trial(struct relay_sources *sources, int64_t now_ms)
 {
 	sources->is_trial = false;
