--- a/daemon/src/relay/node_registrar.c
+++ b/daemon/src/relay/node_registrar.c
@@ -11,7 +11,7 @@
 /* Entries are collected for this long, as nodes often start together. */
 #define COLLECT_MS 200
 
-/* Entries that wait for longer are sent by their nodes again. */
+/* Entries beyond this number are dropped; their nodes send them again. */
 #define PENDING_COUNT_MAX 1024
 
 #define CALL_TIMEOUT_MS 2000
