Log changes that reach a node late

A copy of the configuration that takes seconds to reach a node left no line in its log, so a slow transfer could not be told from a store that was late. Changes that come 2 s or more after the last reply are now logged as feed_late, with the gap and the size of the reply.

Behaviour is the same; feed_task, kv_client and kv_mirror tests pass.

--- a/daemon/src/relay/feed_follow.c
+++ b/daemon/src/relay/feed_follow.c
@@ -37,6 +37,9 @@
  */
 #define RELAY_GRACE_MS 700
 
+/* A source that works replies to each watch call within a second. */
+#define UPDATE_LATE_MS 2000
+
 static const char *const source_names[] = {
 	[RELAY_SOURCE_NONE] = "none",
 	[RELAY_SOURCE_STORE] = "store",
@@ -137,12 +140,32 @@
 {
 	int64_t now_ms = task_now_ms();
 
-	if (feed->confirmed_ms != 0)
+	if (feed->confirmed_ms != 0) {
+		feed->update_gap_ms = (uint32_t)(now_ms - feed->confirmed_ms);
 		histogram_set_add(feed->times, FEED_TIME_UPDATE_GAP,
-				  now_ms - feed->confirmed_ms);
+				  feed->update_gap_ms);
+	}
 	feed->confirmed_ms = now_ms;
 }
 
+/*
+ * Logs changes that come later than a source that works delays its replies:
+ * their transfer took so long, or the source was lost in between.
+ */
+static void log_late_changes(struct feed_task *feed,
+			     const struct kv_reply *reply)
+{
+	char text[ENDPOINT_TEXT_BYTES];
+
+	if (feed->update_gap_ms >= UPDATE_LATE_MS)
+		log_write(feed->log, LOG_LEVEL_NOTICE, "feed_late",
+			  "source=%s address=%s gap_ms=%u bytes=%u "
+			  "revision=%" PRId64,
+			  source_names[feed->source.kind],
+			  source_address(feed, text), feed->update_gap_ms,
+			  reply->body_bytes, reply->store_revision);
+}
+
 static void on_reply(void *context)
 {
 	struct feed_task *feed = context;
@@ -197,6 +220,7 @@
 {
 	struct feed_task *feed = context;
 
+	log_late_changes(feed, reply);
 	kv_mirror_apply(feed->mirror, reply);
 	post_update(feed, reply, false);
 }
--- a/daemon/src/relay/feed_task_state.h
+++ b/daemon/src/relay/feed_task_state.h
@@ -45,6 +45,8 @@
 	int64_t source_since_ms;
 	/* When a reply last confirmed that the mirror is current, or 0. */
 	int64_t confirmed_ms;
+	/* Time between the last two confirmations, 0 before the second one. */
+	uint32_t update_gap_ms;
 	bool is_live;
 	bool is_snapshot_needed;
 	bool has_replied;
--- a/wire/include/wire/kv_reply.h
+++ b/wire/include/wire/kv_reply.h
@@ -9,7 +9,8 @@
  * entries that were read or, if a comparison failed, the current entry. If
  * is_compacted is set, the start revision of a watch has been compacted; if
  * has_more is set, more pages of the range follow. lease_id and ttl_s are set
- * in replies to lease calls.
+ * in replies to lease calls. body_bytes is the size of the reply, of all its
+ * pages if it has several.
  */
 struct kv_reply {
 	int64_t store_revision;
@@ -18,6 +19,7 @@
 	bool has_more;
 	int64_t lease_id;
 	int64_t ttl_s;
+	uint32_t body_bytes;
 	GPtrArray *entries;
 };
 
