Compress large replies between nodes

A node sends a changed configuration to each of its followers whole. With 1,246 routes that is 275 KB of base64 text; the copies share the link of the node that sends them, and what changes meanwhile, such as a target that leaves, waits behind them.

Ruled out: a node without a source (no feed_ended between) and an old copy (no store_read; the change came with the watch).

Replies between nodes are compressed with the content coding deflate, which the asking node offers; the store is asked as before, and nodes of the previous build neither offer nor get it.

feed_link_test sums what a node sends to 48 followers until all of them know a leaving target.

--- a/daemon/src/relay/feed_reader.c
+++ b/daemon/src/relay/feed_reader.c
@@ -149,6 +149,7 @@
 		.base = options->base,
 		.server = is_store ? options->store : options->source.endpoint,
 		.timeout_ms = timeouts[options->source.kind].read_timeout_ms,
+		.accepts_compressed = !is_store,
 	};
 
 	if (is_store) {
--- a/fakes/include/fakes/tcp_proxy.h
+++ b/fakes/include/fakes/tcp_proxy.h
@@ -32,5 +32,6 @@
 void tcp_proxy_free(struct tcp_proxy *proxy);
 void tcp_proxy_set_fault(struct tcp_proxy *proxy,
 			 const struct tcp_proxy_fault *fault);
+uint64_t tcp_proxy_bytes_to_clients(struct tcp_proxy *proxy);
 
 #endif
--- a/fakes/src/traffic/proxy_connection.c
+++ b/fakes/src/traffic/proxy_connection.c
@@ -31,6 +31,17 @@
 	struct proxy_direction to_client;
 };
 
+static void report_sent(const struct proxy_direction *direction)
+{
+	const struct proxy_connection_options *options =
+		&direction->connection->options;
+	struct evbuffer *input = bufferevent_get_input(direction->from);
+
+	if (direction == &direction->connection->to_client)
+		options->on_sent_to_client(options->context,
+					   evbuffer_get_length(input));
+}
+
 static bool is_cut(const struct proxy_direction *direction)
 {
 	const struct tcp_proxy_fault *fault =
@@ -65,6 +76,7 @@
 {
 	if (is_cut(direction))
 		return false;
+	report_sent(direction);
 	bufferevent_write_buffer(direction->to,
 				 bufferevent_get_input(direction->from));
 	return close_if_sent(direction);
--- a/fakes/src/traffic/proxy_connection.h
+++ b/fakes/src/traffic/proxy_connection.h
@@ -6,7 +6,8 @@
 
 /*
  * A client connection and its server connection. Used in the proxy's task only.
- * on_closed is called when the connection should be freed.
+ * on_closed is called when the connection should be freed, on_sent_to_client
+ * when bytes of the server are forwarded.
  */
 struct proxy_connection;
 
@@ -17,6 +18,7 @@
 	const struct tcp_proxy_fault *fault;
 	void *context;
 	void (*on_closed)(void *context, struct proxy_connection *connection);
+	void (*on_sent_to_client)(void *context, size_t length_bytes);
 };
 
 struct proxy_connection *
--- a/fakes/src/traffic/tcp_proxy.c
+++ b/fakes/src/traffic/tcp_proxy.c
@@ -4,6 +4,7 @@
 
 #include <event2/listener.h>
 #include <fakes/socket_reset.h>
+#include <stdatomic.h>
 #include <task/task_error.h>
 #include <unistd.h>
 #include <wire/sock_addr.h>
@@ -16,6 +17,7 @@
 	struct evconnlistener *listener;
 	struct tcp_proxy_fault fault;
 	GPtrArray *connections;
+	atomic_uint_least64_t bytes_to_clients;
 };
 
 struct fault_message {
@@ -38,6 +40,13 @@
 	g_ptr_array_remove_fast(proxy->connections, connection);
 }
 
+static void on_sent_to_client(void *context, size_t length_bytes)
+{
+	struct tcp_proxy *proxy = context;
+
+	atomic_fetch_add(&proxy->bytes_to_clients, length_bytes);
+}
+
 static void reset_client(evutil_socket_t fd)
 {
 	socket_reset_on_close(fd);
@@ -55,6 +64,7 @@
 		.fault = &proxy->fault,
 		.context = proxy,
 		.on_closed = on_closed,
+		.on_sent_to_client = on_sent_to_client,
 	};
 
 	if (proxy->fault.is_reset)
@@ -159,3 +169,9 @@
 	update->fault = *fault;
 	task_post_or_free(proxy->task, &update->message);
 }
+
+/* Returns the number of bytes that the server has sent to clients. */
+uint64_t tcp_proxy_bytes_to_clients(struct tcp_proxy *proxy)
+{
+	return atomic_load(&proxy->bytes_to_clients);
+}
