Compare revisions of the store within an era

A revision was taken to name the same state for ever. A restored store has a lower one and gives out the same numbers again: nodes that were ahead refused the copies of those that had read it (503, or as outdated), and when the revision had passed theirs they went on behind it and missed what lay between. The log shows node b-16 with revision 159 go on at 21.63 s, while the restored store had written the configuration at or before 159.

Replies of the store have the header Store-Era, which rises with each restore. Leases are dropped with the era that they belong to, as the store gives out their numbers again. Nodes of the previous build report no era and are compared by revision, as before.

--- a/daemon/src/relay/feed_follow.c
+++ b/daemon/src/relay/feed_follow.c
@@ -1,5 +1,6 @@
 #include "feed_task_state.h"
 
+#include "feed_era.h"
 #include "feed_update.h"
 
 #include <inttypes.h>
@@ -192,13 +193,12 @@
 	return true;
 }
 
-/* A peer with an older revision than this node's counts as failed. */
+/* A source whose snapshot is older than this node's copy counts as failed. */
 static bool on_snapshot(void *context, const struct kv_reply *reply)
 {
 	struct feed_task *feed = context;
 
-	if (reply->store_revision < kv_mirror_revision(feed->mirror) &&
-	    !feed_follow_is_direct(feed)) {
+	if (feed_era_is_outdated(feed, reply)) {
 		relay_sources_record_failure(
 			feed->sources, RELAY_FAILURE_REFUSED, task_now_ms());
 		timer_once(feed->retry_timer, 0);
@@ -207,6 +207,7 @@
 	counter_set_add(feed->counters, FEED_SNAPSHOT_READS, 1);
 	feed->has_read_snapshot = true;
 	feed->is_snapshot_needed = false;
+	feed_era_enter(feed, reply);
 	kv_mirror_load(feed->mirror, reply);
 	log_write(feed->log, LOG_LEVEL_NOTICE, "store_read",
 		  "source=%s entries=%u revision=%" PRId64,
@@ -297,6 +298,7 @@
 		.base = task_base(feed->task),
 		.source = feed->source,
 		.store = feed->options.settings->platform.store,
+		.era = kv_mirror_era(feed->mirror),
 		.revision = feed->is_snapshot_needed
 				    ? 0
 				    : kv_mirror_revision(feed->mirror),
--- a/daemon/src/relay/feed_reader.c
+++ b/daemon/src/relay/feed_reader.c
@@ -59,15 +59,16 @@
 	reader->options.on_reply(reader->options.context);
 }
 
-static bool open_watch(struct feed_reader *reader, int64_t revision,
-		       uint32_t first_wait_ms, uint32_t first_timeout_ms,
-		       GError **error)
+static bool open_watch(struct feed_reader *reader, int64_t era,
+		       int64_t revision, uint32_t first_wait_ms,
+		       uint32_t first_timeout_ms, GError **error)
 {
 	enum relay_source_kind kind = reader->options.source.kind;
 	struct kv_watch_options options = {
 		.client = reader->client,
 		.key = ALL_KEYS,
 		.is_prefix = true,
+		.era = era,
 		.start_revision = revision + 1,
 		.first_wait_ms = first_wait_ms,
 		.first_timeout_ms = first_timeout_ms,
@@ -89,15 +90,18 @@
  * may return an outdated snapshot but rejects watches, so the first call to a
  * peer returns at once, to show whether its copy is live.
  */
-static bool watch_after_snapshot(struct feed_reader *reader, int64_t revision,
+static bool watch_after_snapshot(struct feed_reader *reader,
+				 const struct kv_reply *snapshot,
 				 GError **error)
 {
 	enum relay_source_kind kind = reader->options.source.kind;
 
 	if (kind == RELAY_SOURCE_PEER)
-		return open_watch(reader, revision, FIRST_WAIT_MS,
+		return open_watch(reader, snapshot->era,
+				  snapshot->store_revision, FIRST_WAIT_MS,
 				  timeouts[kind].first_timeout_ms, error);
-	return open_watch(reader, revision, timeouts[kind].wait_ms,
+	return open_watch(reader, snapshot->era, snapshot->store_revision,
+			  timeouts[kind].wait_ms,
 			  timeouts[kind].watch_timeout_ms, error);
 }
 
@@ -114,7 +118,7 @@
 					    PLATFORM_ERROR_MALFORMED,
 					    "the reply has no revision");
 	else if (reader->options.on_snapshot(reader->options.context, reply))
-		watch_after_snapshot(reader, reply->store_revision, &cause);
+		watch_after_snapshot(reader, reply, &cause);
 	if (cause)
 		reader->options.on_ended(reader->options.context, cause);
 	g_clear_error(&cause);
@@ -126,7 +130,8 @@
 
 	if (reader->options.revision != 0)
 		return open_watch(
-			reader, reader->options.revision, FIRST_WAIT_MS,
+			reader, reader->options.era, reader->options.revision,
+			FIRST_WAIT_MS,
 			timeouts[reader->options.source.kind].first_timeout_ms,
 			error);
 	if (reader->options.may_be_stale)
--- a/daemon/src/relay/feed_reader.h
+++ b/daemon/src/relay/feed_reader.h
@@ -14,18 +14,20 @@
 
 /*
  * If revision is 0, the reader reads a snapshot first, else it watches for
- * changes after revision. store is the address of the store. may_be_stale
- * allows a stale snapshot, which costs the store less; the watch that follows
- * returns newer changes at once. on_snapshot gets a snapshot and returns
- * whether the reader shall watch from it, on_changes gets the changes that a
- * watch call returns. on_reply is called for each reply to a watch call, also
- * an empty one. on_ended is called once, when the source has failed; after
- * PLATFORM_ERROR_COMPACTED the next reader must start with a snapshot.
+ * changes after revision, which belongs to era. store is the address of the
+ * store. may_be_stale allows a stale snapshot, which costs the store less; the
+ * watch that follows returns newer changes at once. on_snapshot gets a snapshot
+ * and returns whether the reader shall watch from it, on_changes gets the
+ * changes that a watch call returns. on_reply is called for each reply to a
+ * watch call, also an empty one. on_ended is called once, when the source has
+ * failed; after PLATFORM_ERROR_COMPACTED the next reader must start with a
+ * snapshot.
  */
 struct feed_reader_options {
 	struct event_base *base;
 	struct relay_source source;
 	struct endpoint store;
+	int64_t era;
 	int64_t revision;
 	bool may_be_stale;
 	/* For calls to the store, not for those to peers. */
--- a/daemon/src/relay/node_entry.c
+++ b/daemon/src/relay/node_entry.c
@@ -207,6 +207,15 @@
 		  entry->expected_revision);
 }
 
+/*
+ * Forgets the lease, which belongs to a state of the store that is lost. If the
+ * entry is lost as well, the node enters again.
+ */
+void node_entry_drop_lease(struct node_entry *entry)
+{
+	entry->lease_id = 0;
+}
+
 /*
  * Enters the node if the mirror lacks its entry or has another value, else
  * refreshes the entry when due. An entry with the same value that an earlier
--- a/daemon/src/relay/node_entry.h
+++ b/daemon/src/relay/node_entry.h
@@ -21,6 +21,7 @@
 				  struct node_registrar *registrar,
 				  struct log *log);
 void node_entry_free(struct node_entry *entry);
+void node_entry_drop_lease(struct node_entry *entry);
 void node_entry_tick(struct node_entry *entry, const struct kv_mirror *mirror,
 		     int64_t now_ms);
 
--- a/daemon/src/relay/node_registrar.c
+++ b/daemon/src/relay/node_registrar.c
@@ -81,6 +81,12 @@
 	registrar->source = *source;
 }
 
+/* Forgets the lease, which belongs to a state of the store that is lost. */
+void node_registrar_drop_lease(struct node_registrar *registrar)
+{
+	registrar->lease_id = 0;
+}
+
 static bool is_pending(const struct node_registrar *registrar, const char *key)
 {
 	for (guint i = 0; i < registrar->pending->len; i++) {
--- a/daemon/src/relay/node_registrar.h
+++ b/daemon/src/relay/node_registrar.h
@@ -26,6 +26,7 @@
 void node_registrar_free(struct node_registrar *registrar);
 void node_registrar_set_source(struct node_registrar *registrar,
 			       const struct relay_source *source);
+void node_registrar_drop_lease(struct node_registrar *registrar);
 void node_registrar_add(struct node_registrar *registrar, const char *key,
 			const char *value, uint32_t value_bytes);
 
--- a/daemon/test/feed_task_test.c
+++ b/daemon/test/feed_task_test.c
@@ -1,11 +1,8 @@
 /* Tests that a node receives changes despite faults of the store. */
-#include "relay_fixture.h"
+#include "feed_fixture.h"
 
-#include <daemon/feed_task.h>
-#include <daemon/store_update_message.h>
 #include <fakes/test_main.h>
 #include <signal.h>
-#include <stdatomic.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -168,91 +165,11 @@
 	  {EXPECT_FOLLOWER_VERSION, 1}}},
 };
 
-/*
- * A task that stores the version of the last configuration and the number of
- * nodes that it has received.
- */
-struct sink {
-	struct task *task;
-	atomic_uint version;
-	atomic_uint node_count;
-};
-
-struct node {
-	struct settings settings;
-	struct sink sink;
-	struct feed_task *feed;
-};
-
-/* The follower's own store, down_kv, is down; it reads from the node. */
 struct fixture {
-	struct fake_kv *kv;
-	struct fake_kv *down_kv;
-	struct node node;
-	struct node follower;
-	char seeds[ENDPOINT_TEXT_BYTES];
+	struct feed_fixture feed;
 	int removed_nodes[REMOVED_NODE_COUNT];
 };
 
-static void handle(void *context, struct message *message)
-{
-	struct sink *sink = context;
-	struct store_update_message *update =
-		(struct store_update_message *)message;
-
-	if (update->routes)
-		atomic_store(
-			&sink->version,
-			(uint32_t)relay_route_table_version(update->routes));
-	if (update->peers)
-		atomic_store(&sink->node_count, update->peers->len);
-	message_free(message);
-}
-
-static void start_node(struct node *node)
-{
-	struct task_options sink = {.name = "sink",
-				    .mailbox_capacity = 64,
-				    .context = &node->sink,
-				    .handle = handle};
-	struct feed_task_options feed = {.settings = &node->settings};
-	GError *error = NULL;
-
-	node->sink.task = task_new(&sink, NULL);
-	ck_assert(task_start(node->sink.task, NULL));
-	feed.sink = node->sink.task;
-	node->feed = feed_task_new(&feed, &error);
-	ck_assert(task_start(feed_task_task(node->feed), &error));
-}
-
-static void stop_node(struct node *node)
-{
-	if (!node->feed)
-		return;
-	task_stop(feed_task_task(node->feed));
-	task_free(node->sink.task);
-	feed_task_free(node->feed);
-}
-
-static void start_follower(struct fixture *fixture)
-{
-	struct fake_kv_fault down = {.is_down = true};
-	struct node *follower = &fixture->follower;
-
-	fixture->down_kv = relay_fixture_start_store();
-	fake_kv_set_fault(fixture->down_kv, &down);
-	follower->settings =
-		relay_fixture_settings("follower", fixture->down_kv);
-	endpoint_format(&fixture->node.settings.relay.listen_peers,
-			fixture->seeds);
-	follower->settings.relay.seeds = fixture->seeds;
-	follower->settings.relay.listen_peers = (struct endpoint){
-		.addr = ip_addr_from_v4(0x7f000002),
-		.port = fixture->node.settings.relay.listen_peers.port,
-	};
-	start_node(follower);
-}
-
 /* The kernel accepts connections to the socket, but nobody replies on them. */
 static int listen_silently(const struct endpoint *endpoint)
 {
@@ -275,36 +192,21 @@
 						REMOVED_NODE_MBPS);
 
 		fixture->removed_nodes[i] = listen_silently(&endpoint);
-		fake_kv_put(fixture->kv, key, value);
+		fake_kv_put(fixture->feed.kv, key, value);
 		g_free(value);
 		g_free(key);
 		g_free(name);
 	}
 }
 
-static void wait_until(const atomic_uint *value, uint32_t expected,
-		       uint32_t limit_ms)
-{
-	int64_t end_ms = task_now_ms() + limit_ms;
-
-	while (atomic_load(value) != expected && task_now_ms() < end_ms)
-		g_usleep(POLL_INTERVAL_US);
-	ck_assert_uint_eq(atomic_load(value), expected);
-}
-
-static void wait_for(const struct node *node, uint32_t version,
-		     uint32_t limit_ms)
-{
-	wait_until(&node->sink.version, version, limit_ms);
-}
-
 static void run_series(struct fixture *fixture, uint32_t version)
 {
 	int64_t end_ms = task_now_ms() + SERIES_MS;
 
 	while (task_now_ms() < end_ms) {
-		relay_fixture_write_config(fixture->kv, version);
-		wait_for(&fixture->node, version, FALLBACK_DEADLINE_MS);
+		relay_fixture_write_config(fixture->feed.kv, version);
+		feed_wait_for(&fixture->feed.node, version,
+			      FALLBACK_DEADLINE_MS);
 		version++;
 	}
 }
@@ -318,39 +220,40 @@
 		.is_watch_stalled = step->action == STALL_WATCHES,
 	};
 
-	fake_kv_set_fault(fixture->kv, &fault);
+	fake_kv_set_fault(fixture->feed.kv, &fault);
 }
 
 static void run_step(struct fixture *fixture, const struct step *step)
 {
 	switch (step->action) {
 	case WRITE_CONFIG:
-		relay_fixture_write_config(fixture->kv, step->value);
+		relay_fixture_write_config(fixture->feed.kv, step->value);
 		break;
 	case WRITE_MALFORMED_CONFIG:
-		fake_kv_put(fixture->kv, CONFIG_KEY, "{\"version\":2");
+		fake_kv_put(fixture->feed.kv, CONFIG_KEY, "{\"version\":2");
 		break;
 	case DROP_HISTORY:
-		fake_kv_compact(fixture->kv);
+		fake_kv_compact(fixture->feed.kv);
 		break;
 	case START_NODE:
-		start_node(&fixture->node);
+		feed_node_start(&fixture->feed.node);
 		break;
 	case START_FOLLOWER:
-		start_follower(fixture);
+		feed_start_follower(&fixture->feed);
 		break;
 	case EXPECT_VERSION:
-		wait_for(&fixture->node, step->value, TIMEOUT_MS);
+		feed_wait_for(&fixture->feed.node, step->value, TIMEOUT_MS);
 		break;
 	case EXPECT_FOLLOWER_VERSION:
-		wait_for(&fixture->follower, step->value, TIMEOUT_MS);
+		feed_wait_for(&fixture->feed.follower, step->value, TIMEOUT_MS);
 		break;
 	case EXPECT_VERSION_BY_DEADLINE:
-		wait_for(&fixture->node, step->value, CONFIG_DEADLINE_MS);
+		feed_wait_for(&fixture->feed.node, step->value,
+			      CONFIG_DEADLINE_MS);
 		break;
 	case EXPECT_NODE_COUNT:
-		wait_until(&fixture->node.sink.node_count, step->value,
-			   TIMEOUT_MS);
+		feed_wait_until(&fixture->feed.node.sink.node_count,
+				step->value, TIMEOUT_MS);
 		break;
 	case LIST_REMOVED_NODES:
 		list_removed_nodes(fixture);
@@ -369,19 +272,20 @@
 
 	test_row("feed_task", rows[_i].name);
 	memset(&fixture, 0, sizeof(fixture));
-	fixture.kv = relay_fixture_start_store();
-	fixture.node.settings = relay_fixture_settings("node", fixture.kv);
+	fixture.feed.kv = relay_fixture_start_store();
+	fixture.feed.node.settings =
+		relay_fixture_settings("node", fixture.feed.kv);
 	for (const struct step *step = rows[_i].steps; step->action != END;
 	     step++)
 		run_step(&fixture, step);
-	stop_node(&fixture.follower);
-	stop_node(&fixture.node);
+	feed_node_stop(&fixture.feed.follower);
+	feed_node_stop(&fixture.feed.node);
 	for (uint32_t i = 0; i < REMOVED_NODE_COUNT; i++) {
 		if (fixture.removed_nodes[i] > 0)
 			close(fixture.removed_nodes[i]);
 	}
-	fake_kv_free(fixture.kv);
-	fake_kv_free(fixture.down_kv);
+	fake_kv_free(fixture.feed.kv);
+	fake_kv_free(fixture.feed.down_kv);
 }
 END_TEST
 
--- a/fakes/src/fake_kv.c
+++ b/fakes/src/fake_kv.c
@@ -23,6 +23,9 @@
 #define STATUS_UNAUTHORIZED 401
 #define STATUS_NOT_FOUND 404
 
+/* Holds any 64-bit integer as text. */
+#define INTEGER_TEXT_BYTES 24
+
 /*
  * lock guards the members below it, since tests change the store and its faults
  * from their own thread.
@@ -80,6 +83,16 @@
 	return true;
 }
 
+static void add_era(struct fake_kv *kv, struct evhttp_request *request)
+{
+	char text[INTEGER_TEXT_BYTES];
+
+	g_snprintf(text, sizeof(text), "%" PRId64,
+		   fake_kv_store_era(kv->store));
+	evhttp_add_header(evhttp_request_get_output_headers(request),
+			  "Store-Era", text);
+}
+
 static void run_route(struct fake_kv *kv, const struct fake_kv_route *route,
 		      struct evhttp_request *request,
 		      const struct fake_kv_call *call)
@@ -89,6 +102,7 @@
 	char *text = json_dumps(result, JSON_COMPACT);
 
 	json_decref(result);
+	add_era(kv, request);
 	if (route->is_write)
 		kv->write_count++;
 	else
@@ -358,7 +372,7 @@
 
 /*
  * Restores the keys and the revision of the last snapshot, to simulate a
- * restore by an operator of the store.
+ * restore by an operator of the store. The header Store-Era rises by one.
  */
 void fake_kv_restore(struct fake_kv *kv)
 {
--- a/fakes/src/fake_kv_store.c
+++ b/fakes/src/fake_kv_store.c
@@ -21,10 +21,12 @@
 	json_t *history;
 	json_t *snapshot;
 	GArray *leases;
+	int64_t era;
 	int64_t revision;
 	int64_t snapshot_revision;
 	int64_t compact_revision;
 	int64_t next_lease_id;
+	int64_t snapshot_lease_id;
 };
 
 /* Creates an empty store at revision 1. */
@@ -35,6 +37,7 @@
 	store->items = json_object();
 	store->history = json_array();
 	store->leases = g_array_new(FALSE, FALSE, sizeof(struct fake_lease));
+	store->era = 1;
 	store->revision = 1;
 	store->next_lease_id = 1;
 	return store;
@@ -64,6 +67,12 @@
 	return text ? text : "";
 }
 
+/* Returns the store's era, which rises each time the store is restored. */
+int64_t fake_kv_store_era(const struct fake_kv_store *store)
+{
+	return store->era;
+}
+
 /* Returns the store's revision. */
 int64_t fake_kv_store_revision(const struct fake_kv_store *store)
 {
@@ -300,7 +309,7 @@
 
 /*
  * Lists the changes after a revision. The status is 410 if the history since
- * that revision was compacted.
+ * that revision was compacted, or if the store has not reached it yet.
  */
 json_t *fake_kv_store_events(const struct fake_kv_store *store,
 			     const char *prefix, int64_t after_revision,
@@ -311,8 +320,10 @@
 	size_t index;
 	json_t *item;
 
-	*status = after_revision < store->compact_revision ? STATUS_COMPACTED
-							   : STATUS_OK;
+	*status = after_revision < store->compact_revision ||
+				  after_revision > store->revision
+			  ? STATUS_COMPACTED
+			  : STATUS_OK;
 	json_array_foreach(store->history, index, item)
 	{
 		if (get_number(item, "revision") > after_revision &&
@@ -336,16 +347,30 @@
 	json_decref(store->snapshot);
 	store->snapshot = json_deep_copy(store->items);
 	store->snapshot_revision = store->revision;
+	store->snapshot_lease_id = store->next_lease_id;
+}
+
+static void remove_leases_since(struct fake_kv_store *store, int64_t id)
+{
+	for (guint i = store->leases->len; i-- > 0;) {
+		if (g_array_index(store->leases, struct fake_lease, i).id >= id)
+			g_array_remove_index(store->leases, i);
+	}
+	store->next_lease_id = id;
 }
 
 /*
- * Restores the keys and the revision of the snapshot. Watches get no events for
- * the restored changes.
+ * Restores the keys and the revision of the snapshot and begins a new era.
+ * Watches get no events for the restored changes. Leases that were granted
+ * since the snapshot are gone, and their numbers are given out again.
  */
 void fake_kv_store_restore(struct fake_kv_store *store)
 {
 	json_decref(store->items);
 	store->items = json_deep_copy(store->snapshot);
 	store->revision = store->snapshot_revision;
+	store->compact_revision = store->snapshot_revision;
+	store->era++;
 	json_array_clear(store->history);
+	remove_leases_since(store, store->snapshot_lease_id);
 }
--- a/fakes/src/fake_kv_store.h
+++ b/fakes/src/fake_kv_store.h
@@ -31,6 +31,7 @@
 void fake_kv_store_compact(struct fake_kv_store *store);
 void fake_kv_store_snapshot(struct fake_kv_store *store);
 void fake_kv_store_restore(struct fake_kv_store *store);
+int64_t fake_kv_store_era(const struct fake_kv_store *store);
 int64_t fake_kv_store_revision(const struct fake_kv_store *store);
 
 #endif
--- a/wire/include/wire/kv_reply.h
+++ b/wire/include/wire/kv_reply.h
@@ -10,9 +10,12 @@
  * is_compacted is set, the start revision of a watch has been compacted; if
  * has_more is set, more pages of the range follow. lease_id and ttl_s are set
  * in replies to lease calls. body_bytes is the size of the reply, of all its
- * pages if it has several.
+ * pages if it has several. era rises each time the store is restored from a
+ * copy, and revisions of different eras cannot be compared; it is 0 if the
+ * store reports none.
  */
 struct kv_reply {
+	int64_t era;
 	int64_t store_revision;
 	bool has_succeeded;
 	bool is_compacted;
