Keep a leaving target out when an older copy says it serves

A restored store has the entries of some seconds ago until the targets write theirs again, so a target that has said since that it leaves, or that has gone, is listed as serving, and nodes would send it new flows.

Within an incarnation, leaving is final: an entry of the same incarnation that says otherwise is older. A target that starts again has a new incarnation and serves. Entries without a start time are taken as before.

--- a/core/src/relay/relay_directory.c
+++ b/core/src/relay/relay_directory.c
@@ -92,6 +92,20 @@
 	entry->health = (struct relay_health){.answered_ms = 0};
 }
 
+/*
+ * A target that leaves does so for good until it starts again. An entry that
+ * says otherwise is from a copy of the store that is older than its leaving.
+ * An incarnation of 0 is not known.
+ */
+static enum target_state merge_state(const struct relay_target *entry,
+				     const struct target *target)
+{
+	if (entry->target.state == TARGET_LEAVING && target->incarnation != 0 &&
+	    entry->target.incarnation == target->incarnation)
+		return TARGET_LEAVING;
+	return target->state;
+}
+
 /*
  * Adds or updates a target. Returns false if another target has the same tag;
  * that target stays.
@@ -102,6 +116,7 @@
 {
 	struct relay_target *entry = relay_directory_find(
 		directory, relay_tag_of(target->target_id));
+	enum target_state state;
 
 	if (entry && entry->target.target_id != target->target_id)
 		return false;
@@ -112,7 +127,9 @@
 	if (!entry)
 		entry = add(directory, target);
 	reset_if_restarted(entry, target);
+	state = merge_state(entry, target);
 	entry->target = *target;
+	entry->target.state = state;
 	entry->warmup_end_ms = now_ms + warmup_ms;
 	entry->grace_end_ms = 0;
 	entry->removed_ms = 0;
--- a/core/test/relay_steps.h
+++ b/core/test/relay_steps.h
@@ -25,6 +25,8 @@
 	SERVES,
 	/* Target a in zone b is leaving. */
 	LEAVES,
+	/* Target a in zone b is serving, in a later incarnation. */
+	STARTS_AGAIN,
 	/* The entry of target a is removed from the store. */
 	REMOVED,
 	/* Target a in zone b is reassigned to another service. */
@@ -130,6 +132,7 @@
 {
 	struct target target = {
 		.target_id = step->a,
+		.incarnation = step->kind == STARTS_AGAIN ? 2 : 1,
 		.service_id = step->kind == CHANGES_SERVICE ? OTHER_SERVICE_ID
 							    : SERVICE_ID,
 		.zone_id = step->b,
@@ -184,6 +187,7 @@
 	switch (step->kind) {
 	case SERVES:
 	case LEAVES:
+	case STARTS_AGAIN:
 	case CHANGES_SERVICE:
 		put_target(director, step);
 		break;
