--- a/fakes/src/fake_kv.c
+++ b/fakes/src/fake_kv.c
@@ -2,6 +2,7 @@
 
 #include "fake_delayed_responses.h"
 #include "fake_kv_call.h"
+#include "fake_kv_era.h"
 #include "fake_kv_watches.h"
 #include "http_abort.h"
 
@@ -23,9 +24,6 @@
 #define STATUS_UNAUTHORIZED 401
 #define STATUS_NOT_FOUND 404
 
-/* Holds any 64-bit integer as text. */
-#define INTEGER_TEXT_BYTES 24
-
 /*
  * lock guards the members below it, since tests change the store and its faults
  * from their own thread.
@@ -83,16 +81,6 @@
 	return true;
 }
 
-static void add_era(struct fake_kv *kv, struct evhttp_request *request)
-{
-	char text[INTEGER_TEXT_BYTES];
-
-	g_snprintf(text, sizeof(text), "%" PRId64,
-		   fake_kv_store_era(kv->store));
-	evhttp_add_header(evhttp_request_get_output_headers(request),
-			  "Store-Era", text);
-}
-
 static void run_route(struct fake_kv *kv, const struct fake_kv_route *route,
 		      struct evhttp_request *request,
 		      const struct fake_kv_call *call)
@@ -102,7 +90,7 @@
 	char *text = json_dumps(result, JSON_COMPACT);
 
 	json_decref(result);
-	add_era(kv, request);
+	fake_kv_era_add(kv->store, request);
 	if (route->is_write)
 		kv->write_count++;
 	else
--- a/fakes/src/fake_kv_watches.c
+++ b/fakes/src/fake_kv_watches.c
@@ -1,9 +1,10 @@
 #include "fake_kv_watches.h"
 
+#include "fake_kv_era.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <glib.h>
-#include <inttypes.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -74,17 +75,6 @@
 	pthread_mutex_unlock(watches->lock);
 }
 
-static void add_era(const struct fake_kv_watches *watches,
-		    struct evhttp_request *request)
-{
-	char *text =
-		g_strdup_printf("%" PRId64, fake_kv_store_era(watches->store));
-
-	evhttp_add_header(evhttp_request_get_output_headers(request),
-			  "Store-Era", text);
-	g_free(text);
-}
-
 /*
  * Answers a watch if there are changes or an error, or its deadline has passed.
  * Returns whether it was answered.
@@ -104,7 +94,7 @@
 		evbuffer_add(evhttp_request_get_output_buffer(watch->request),
 			     text, strlen(text));
 		evhttp_connection_set_closecb(watch->connection, NULL, NULL);
-		add_era(watches, watch->request);
+		fake_kv_era_add(watches->store, watch->request);
 		evhttp_send_reply(watch->request, status, NULL, NULL);
 		free(text);
 	}
