--- a/core/include/core/relay_directory.h
+++ b/core/include/core/relay_directory.h
@@ -14,6 +14,8 @@
 
 struct relay_directory *relay_directory_new(void);
 void relay_directory_free(struct relay_directory *directory);
+enum target_state relay_directory_merge_state(struct relay_directory *directory,
+					      const struct target *target);
 bool relay_directory_put(struct relay_directory *directory,
 			 const struct target *target, uint32_t warmup_ms,
 			 int64_t now_ms);
--- a/core/src/relay/relay_directory.c
+++ b/core/src/relay/relay_directory.c
@@ -93,14 +93,19 @@
 }
 
 /*
- * A target that leaves does so for good until it starts again. An entry that
- * says otherwise is from a copy of the store that is older than its leaving.
- * An incarnation of 0 is not known.
+ * Returns the state that a target gets by its entry. A target that leaves does
+ * so for good until it starts again: an entry that says otherwise is from a
+ * copy of the store that is older than its leaving. An incarnation of 0 is not
+ * known.
  */
-static enum target_state merge_state(const struct relay_target *entry,
-				     const struct target *target)
+enum target_state relay_directory_merge_state(struct relay_directory *directory,
+					      const struct target *target)
 {
-	if (entry->target.state == TARGET_LEAVING && target->incarnation != 0 &&
+	const struct relay_target *entry = relay_directory_find(
+		directory, relay_tag_of(target->target_id));
+
+	if (entry && entry->target.target_id == target->target_id &&
+	    entry->target.state == TARGET_LEAVING && target->incarnation != 0 &&
 	    entry->target.incarnation == target->incarnation)
 		return TARGET_LEAVING;
 	return target->state;
@@ -116,7 +121,8 @@
 {
 	struct relay_target *entry = relay_directory_find(
 		directory, relay_tag_of(target->target_id));
-	enum target_state state;
+	enum target_state state =
+		relay_directory_merge_state(directory, target);
 
 	if (entry && entry->target.target_id != target->target_id)
 		return false;
@@ -127,7 +133,6 @@
 	if (!entry)
 		entry = add(directory, target);
 	reset_if_restarted(entry, target);
-	state = merge_state(entry, target);
 	entry->target = *target;
 	entry->target.state = state;
 	entry->warmup_end_ms = now_ms + warmup_ms;
--- a/daemon/src/relay/relay_update.c
+++ b/daemon/src/relay/relay_update.c
@@ -32,20 +32,22 @@
 	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 
 	for (guint i = 0; i < update->changes->len; i++) {
-		const struct target_change *change = &g_array_index(
-			update->changes, struct target_change, i);
+		struct target_change change =
+			g_array_index(update->changes, struct target_change, i);
 
-		if (is_change(directory, change))
-			relay_log_target(log, change, update->revision);
-		if (change->is_removed) {
-			relay_directory_remove(
-				directory, change->target.target_id, now_ms);
+		change.target.state =
+			relay_directory_merge_state(directory, &change.target);
+		if (is_change(directory, &change))
+			relay_log_target(log, &change, update->revision);
+		if (change.is_removed) {
+			relay_directory_remove(directory,
+					       change.target.target_id, now_ms);
 			continue;
 		}
-		g_array_append_val(ids, change->target.target_id);
-		if (!relay_directory_put(directory, &change->target,
-					 change->warmup_ms, now_ms))
-			relay_log_tag_taken(log, change);
+		g_array_append_val(ids, change.target.target_id);
+		if (!relay_directory_put(directory, &change.target,
+					 change.warmup_ms, now_ms))
+			relay_log_tag_taken(log, &change);
 	}
 	if (update->is_snapshot)
 		relay_directory_remove_unlisted(directory, ids, now_ms);
