--- a/review/stand_ins/clients.py
+++ b/review/stand_ins/clients.py
@@ -10,6 +10,8 @@
 OPEN_LIMIT_S = 1.4
 RETRANSMIT_S = 0.2
 RETRANSMIT_MAX_S = 1.6
+FIRST_PORT = 1024
+PORT_COUNT = 60000
 
 
 class Request:
@@ -57,19 +59,19 @@
         self.judge = judge
         self.deadline_s = deadline_s
         self.flows = {}
-        self.next_port = 1024
+        self.next_port = 0
+        self.port_count = PORT_COUNT
         self.random = random.Random(address)
         self.socket = loop.udp(address, port, self._on_datagram)
         self.router = loop.udp(address, 0, lambda raw, sender: None)
 
     def open(self, route, requests, pauses_s=(0, 0)):
         """Opens a flow that carries requests with pauses between them."""
-        self.next_port += 1
-        key = (self.number, self.next_port, packets.number_of(route[0]),
-               route[1])
+        port = self._take_port()
+        key = (self.number, port, packets.number_of(route[0]), route[1])
         flow = ClientFlow(key, self.random.getrandbits(32), requests)
         flow.pauses_s = pauses_s
-        self.flows[self.next_port] = flow
+        self.flows[port] = flow
         self._send_syn(flow, 0)
         for count, delay_s in enumerate(SYN_COPIES_S, 1):
             self.loop.after(delay_s, self._send_syn, flow, count)
@@ -77,6 +79,14 @@
         self.judge.client_opened(self, key)
         return flow
 
+    def _take_port(self):
+        """Returns the next port that has no flow."""
+        while True:
+            self.next_port += 1
+            port = FIRST_PORT + self.next_port % self.port_count
+            if port not in self.flows:
+                return port
+
     def _send_syn(self, flow, count):
         if not flow.is_open and not flow.is_over:
             self._send(flow, packets.SYN, seq=flow.seq, ack=count, echo=0)
--- a/review/stand_ins/judge.py
+++ b/review/stand_ins/judge.py
@@ -64,6 +64,14 @@
     def client_opened(self, client, key):
         """A client opens a flow."""
         self.counts["flows opened by clients"] += 1
+        if key in self.nodes_of:
+            self.counts["of these from a port used before"] += 1
+        if key in self.arrivals:
+            self.check_arrivals([key])
+            del self.arrivals[key]
+        for known in (self.host_of, self.opened_s, self.nodes_of):
+            known.pop(key, None)
+        self.ended.discard(key)
 
     def client_sent(self, client, key, request):
         """A client sends a request."""
@@ -178,9 +186,10 @@
                 f"{sorted(self.routes[request.route])}, was run by "
                 f"{host.name} of {host.service}"))
 
-    def check_arrivals(self):
+    def check_arrivals(self, keys=None):
         """FLOW (b): packets reach other hosts and none the flow's own."""
-        for key, arrivals in self.arrivals.items():
+        for key in list(self.arrivals) if keys is None else keys:
+            arrivals = self.arrivals[key]
             own = self.host_of[key].name
             others = []
             for at_s, name, is_in_touch in arrivals:
