--- a/review/stand_ins/nodes.py
+++ b/review/stand_ins/nodes.py
@@ -49,6 +49,7 @@
         self.store = store
         self.folder = folder
         self.process = None
+        self.started = []
         self.is_in_rotation = False
         self.misses = 0
 
@@ -78,6 +79,14 @@
         with open(os.path.join(self.folder, self.name + ".log"), "ab") as log:
             self.process = subprocess.Popen(command.split(), cwd=ROOT,
                                             stdout=log, stderr=log)
+        self.started.append(self.process)
+
+    def kill(self):
+        """Ends every process that was started on this machine."""
+        for process in self.started:
+            if process.poll() is None:
+                process.kill()
+                process.wait()
 
     def probe(self):
         """Asks once whether the node is ready, as the platform's routers do."""
@@ -175,12 +184,8 @@
         """Ends all processes."""
         self.is_stopping = True
         for node in self.nodes:
-            if node.process and node.process.poll() is None:
-                node.process.kill()
+            node.kill()
         for thread in self.threads:
             thread.join(3)
         for node in self.nodes:
-            if node.process and node.process.poll() is None:
-                node.process.kill()
-            if node.process:
-                node.process.wait()
+            node.kill()
