Review stand-ins: exit with 2 on any failure of a case itself

An uncaught error of a stand-in would have ended a script with 1, as if a rule were broken. A run without an answered request counts as not run. The routes' addresses, which are only written into packets, are loopback addresses too.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,7 @@
 from stand_ins.world import World, has_trouble, run_case  # noqa: E402
 
 ZONES = {"north-a": 2, "north-b": 3, "north-c": 2, "north-d": 1}
-ROUTE = ("198.18.0.1", 8443)
+ROUTE = ("127.1.0.1", 8443)
 FLOWS_PER_S = 250
 LENGTH_S = 101
 GAP_S = 2.0
--- a/review/stand_ins/judge.py
+++ b/review/stand_ins/judge.py
@@ -186,6 +186,10 @@
                 f"{sorted(self.routes[request.route])}, was run by "
                 f"{host.name} of {host.service}"))
 
+    def has_traffic(self):
+        """Returns whether any request was answered."""
+        return self.counts["requests answered with 200"] > 0
+
     def check_arrivals(self, keys=None):
         """FLOW (b): packets reach other hosts and none the flow's own."""
         for key in list(self.arrivals) if keys is None else keys:
--- a/review/stand_ins/nodes.py
+++ b/review/stand_ins/nodes.py
@@ -118,9 +118,16 @@
                       for node in nodes[:3]]
         self.is_stopping = False
         self.threads = []
+        self.failure = None
 
     def _in_thread(self, target, *args):
-        thread = threading.Thread(target=target, args=args, daemon=True)
+        def work():
+            try:
+                target(*args)
+            except Exception as error:  # reported when the case ends
+                self.failure = repr(error)
+
+        thread = threading.Thread(target=work, daemon=True)
         thread.start()
         self.threads.append(thread)
 
--- a/review/stand_ins/world.py
+++ b/review/stand_ins/world.py
@@ -1,12 +1,12 @@
 """A small deployment on loopback addresses."""
 
+import atexit
 import json
 import os
 import random
 import shutil
 import signal
 import socket
-import subprocess
 import sys
 import tempfile
 import time
@@ -54,6 +54,7 @@
                          "build first")
         self.random = random.Random()
         self.folder = tempfile.mkdtemp(prefix="review-")
+        atexit.register(shutil.rmtree, self.folder, ignore_errors=True)
         self.net = self._find_net()
         self.ports = self._find_ports()
         self.loop = Loop()
@@ -176,8 +177,12 @@
         code = EXIT_BROKEN if world.judge.breaks else EXIT_HELD
         world.judge.write(os.path.join(folder, "record.txt"),
                           f"{title}, {mode} the disruption")
-    except (NotRun, OSError, subprocess.SubprocessError) as error:
-        print(f"the case could not run: {error}", file=sys.stderr)
+        if not world.judge.has_traffic():
+            raise NotRun("no request was answered")
+        if world.fleet.failure:
+            raise NotRun(f"a thread failed: {world.fleet.failure}")
+    except Exception as error:  # any failure of the case itself
+        print(f"the case could not run: {error!r}", file=sys.stderr)
         sys.exit(EXIT_NOT_RUN)
     rules = sorted({rule for rule, _ in world.judge.breaks})
     print(f"{title}, {mode} the disruption: "
