Show that a route with nine back ends stops all later configurations

Review case 9, a script. The rule CONFIG is broken: nodes refuse a whole configuration for one route with more than eight services and keep the version before, so that requests run by a route that was dropped long ago.

--- a/review/stand_ins_2/cases.c
+++ b/review/stand_ins_2/cases.c
@@ -7,6 +7,7 @@
 #define ZONE_B 1
 #define ZONE_D 3
 #define HOST_ID_FIRST 0x51a70001U
+#define BACK_END_COUNT 9
 
 static const char *const unsafe_kinds[] = {"unsafe", "unsafe"};
 static const char *const safe_kinds[] = {"safe", "safe"};
@@ -36,6 +37,13 @@
 		add_hosts(world, 1, ZONE_D, 4);
 		return store_put_config(world, 3, services, safe_kinds, 2);
 	}
+	if (strcmp(name, "nine-back-ends") == 0) {
+		static const int both[] = {0, 0};
+
+		for (int i = 0; i < BACK_END_COUNT; i++)
+			add_hosts(world, i, ZONE_A, 1);
+		return store_put_config(world, 3, both, safe_kinds, 2);
+	}
 	add_hosts(world, 0, ZONE_A, 1);
 	add_hosts(world, 1, ZONE_A, 9);
 	return store_put_config(world, 3, services, safe_kinds, 1);
@@ -53,7 +61,7 @@
 	world_log(world, "broken FLOW port=%u", flow->port);
 }
 
-#define OPEN_INTERVAL_MS 33
+#define OPEN_INTERVAL_MS 20
 #define OPEN_END_MS 38000
 #define REQUEST_COUNT 8
 #define LOSS_PPM 10000
@@ -65,7 +73,7 @@
 
 static void tick_late_echo(struct world *world, void *context)
 {
-	static const int64_t rolls_ms[] = {10000, 19000, 28000};
+	static const int64_t rolls_ms[] = {9000, 17000, 25000, 33000};
 	struct late_echo *state = context;
 
 	if (world_ms(world) < OPEN_END_MS &&
@@ -73,7 +81,7 @@
 		state->opened_ms = now_ms();
 		(void)flow_open(world, ZONE_A, 0, REQUEST_COUNT);
 	}
-	if (world->has_trouble && state->rolled_count < 3 &&
+	if (world->has_trouble && state->rolled_count < 4 &&
 	    world_ms(world) >= rolls_ms[state->rolled_count])
 		node_signal(world, state->rolled_count++ % 2, SIGTERM, true);
 }
@@ -264,3 +272,54 @@
 	world_run(world, 15000, &state, tick_moved_route);
 	return world->answered_count > 0;
 }
+
+#define CONFIG_MS 5000
+#define SPREAD_MS 6000
+
+struct back_ends {
+	int64_t opened_ms;
+	int64_t acknowledged_ms;
+};
+
+static struct back_ends back_ends;
+
+/* CONFIG: a request runs with a route that was dropped configMs ago. */
+static void check_dropped(struct world *world, struct flow *flow, int host)
+{
+	int64_t sent_ms;
+
+	if (host < 0 || flow->route != 1 || back_ends.acknowledged_ms == 0)
+		return;
+	sent_ms = flow->copies_ms[host_copy_number(world, host, flow->port)];
+	if (sent_ms <= back_ends.acknowledged_ms + CONFIG_MS)
+		return;
+	world->misdirected_count++;
+	world->is_broken = true;
+	world_log(world, "broken CONFIG port=%u after_ms=%d", flow->port,
+		  (int)(sent_ms - back_ends.acknowledged_ms));
+}
+
+static void tick_back_ends(struct world *world, void *context)
+{
+	struct back_ends *state = context;
+
+	if (now_ms() - state->opened_ms >= 50 && world_ms(world) < 18000) {
+		state->opened_ms = now_ms();
+		(void)flow_open(world, ZONE_A, 0, 1);
+		(void)flow_open(world, ZONE_A, 1, 1);
+	}
+	if (state->acknowledged_ms != 0 || world_ms(world) < SPREAD_MS)
+		return;
+	(void)store_put_back_ends(world, 8,
+				  world->has_trouble ? BACK_END_COUNT
+						     : BACK_END_COUNT - 1);
+	state->acknowledged_ms = now_ms();
+}
+
+/* A route is spread over nine services, and another one is dropped. */
+bool case_back_ends(struct world *world)
+{
+	world->on_open = check_dropped;
+	world_run(world, 20000, &back_ends, tick_back_ends);
+	return world->answered_count > 0;
+}
--- a/review/stand_ins_2/node.c
+++ b/review/stand_ins_2/node.c
@@ -47,7 +47,7 @@
 		return node->pid > 0;
 	}
 	(void)prctl(PR_SET_PDEATHSIG, SIGKILL);
-	if (getppid() != parent || !freopen(path, "ae", stdout) ||
+	if (getppid() != parent || !freopen(path, "a", stdout) ||
 	    dup2(STDOUT_FILENO, STDERR_FILENO) < 0)
 		_exit(2);
 	execl(world->daemon, world->daemon, "--settings", node->settings,
--- a/review/stand_ins_2/play.c
+++ b/review/stand_ins_2/play.c
@@ -11,6 +11,7 @@
 	{"late-echo", "FLOW", case_late_echo},
 	{"quiet-zone", "FLOW", case_quiet_zone},
 	{"moved-route", "CONFIG", case_moved_route},
+	{"nine-back-ends", "CONFIG", case_back_ends},
 };
 
 /* Adds the nodes of the arguments, each NAME:zone-LETTER, and starts them. */
--- a/review/stand_ins_2/store.c
+++ b/review/stand_ins_2/store.c
@@ -139,3 +139,45 @@
 	world_log(world, "config version=%u acknowledged=%d", version, is_done);
 	return is_done;
 }
+
+/*
+ * Writes a configuration with one route, route 0, that is spread evenly over
+ * count services.
+ */
+bool store_put_back_ends(struct world *world, uint32_t version, int count)
+{
+	uint32_t address = world_address(world, ROUTE_GROUP, 1);
+	char text[8192];
+	char services[4096] = "";
+	size_t length = 0;
+	size_t services_length = 0;
+	bool is_done;
+
+	length += (size_t)snprintf(
+		text, sizeof(text),
+		"{\"version\":%u,\"routes\":[{\"name\":\"route-0\","
+		"\"hostname\":\"%u.%u.%u.%u\",\"prefix\":\"/443/\","
+		"\"type\":\"safe\",\"timeoutMs\":4000,"
+		"\"targetLatencyMs\":300,\"priority\":1,\"maxAttempts\":2,"
+		"\"backends\":[",
+		version, address >> 24, address >> 16 & 255, address >> 8 & 255,
+		address & 255);
+	for (int i = 0; i < count; i++) {
+		length += (size_t)snprintf(text + length, sizeof(text) - length,
+					   "%s{\"service\":\"service-%d\","
+					   "\"weight\":10}",
+					   i ? "," : "", i);
+		services_length += (size_t)snprintf(
+			services + services_length,
+			sizeof(services) - services_length,
+			"%s{\"name\":\"service-%d\"}", i ? "," : "", i);
+	}
+	(void)snprintf(text + length, sizeof(text) - length,
+		       "]}],\"services\":[%s],"
+		       "\"limits\":{\"idleTimeoutMs\":15000}}",
+		       services);
+	is_done = store_put(world, "op/config", text);
+	world_log(world, "config version=%u back_ends=%d acknowledged=%d",
+		  version, count, is_done);
+	return is_done;
+}
--- a/review/stand_ins_2/world.h
+++ b/review/stand_ins_2/world.h
@@ -202,5 +202,6 @@
 bool store_put_config(struct world *world, uint32_t version,
 		      const int *service_of_route, const char *const *kinds,
 		      int route_count);
+bool store_put_back_ends(struct world *world, uint32_t version, int count);
 
 #endif
