--- a/review/stand_ins_2/run-lib.sh
+++ b/review/stand_ins_2/run-lib.sh
@@ -31,10 +31,23 @@
 		"$root/deploy/settings.yaml.tmpl" >"$work/$2.yaml"
 }
 
+# Chooses a network 127.$net.0.0 of which no address is in use; the port of the
+# nodes' metrics is fixed in the template.
+choose_net() {
+	net=$((20 + $$ % 200))
+	tries=0
+	while grep -qE " [0-9A-F]{4}$(printf %02X "$net")7F:" \
+		/proc/net/tcp /proc/net/udp; do
+		net=$((20 + (net - 19) % 200))
+		tries=$((tries + 1))
+		[ "$tries" -lt 200 ] || exit 2
+	done
+}
+
 play() {
 	case_name=$1
 	shift
-	net=$((20 + $$ % 200))
+	choose_net
 	port=$((12000 + $$ % 18000))
 	[ -x "$root/target/shallotd" ] && [ -x "$bin/shallotctl" ] &&
 		[ -x "$bin/play" ] || exit 2
