Take the network of a review script with a lock

Two scripts that start with process ids that follow each other could choose the same loopback network with ports that overlap, and then ended with 2: one of 40 runs of a series, and one of 60 starts at the same time, whose nodes logged that they could not listen.

--- a/review/stand_ins_2/run-lib.sh
+++ b/review/stand_ins_2/run-lib.sh
@@ -6,6 +6,7 @@
 bin=$root/build-review-2
 store_pid=''
 play_pid=''
+lock=''
 work=$(mktemp -d)
 
 finish() {
@@ -13,6 +14,7 @@
 	[ -z "$store_pid" ] || kill "$store_pid" 2>/dev/null || :
 	wait 2>/dev/null || :
 	rm -rf "$work"
+	[ -z "$lock" ] || rmdir "$lock"
 }
 trap finish EXIT
 trap 'exit 2' INT TERM HUP
@@ -32,22 +34,34 @@
 }
 
 # Chooses a network 127.$net.0.0 of which no address is in use; the port of the
-# nodes' metrics is fixed in the template.
+# nodes' metrics is fixed in the template. The lock keeps it from other scripts
+# that start at the same time.
 choose_net() {
-	net=$((20 + $$ % 200))
-	tries=0
-	while grep -qE " [0-9A-F]{4}$(printf %02X "$net")7F:" \
-		/proc/net/tcp /proc/net/udp; do
-		net=$((20 + (net - 19) % 200))
-		tries=$((tries + 1))
-		[ "$tries" -lt 200 ] || exit 2
+	until mkdir "${TMPDIR:-/tmp}/review-net-$net" 2>/dev/null; do
+		next_net
 	done
+	lock=${TMPDIR:-/tmp}/review-net-$net
+	if grep -qE " [0-9A-F]{4}$(printf %02X "$net")7F:" \
+		/proc/net/tcp /proc/net/udp; then
+		rmdir "$lock"
+		lock=''
+		next_net
+		return 1
+	fi
+}
+
+next_net() {
+	net=$((20 + (net - 19) % 200))
+	tries=$((tries + 1))
+	[ "$tries" -lt 400 ] || exit 2
 }
 
 play() {
 	case_name=$1
 	shift
-	choose_net
+	net=$((20 + $$ % 200))
+	tries=0
+	until choose_net; do :; done
 	port=$((12000 + $$ % 18000))
 	[ -x "$root/target/shallotd" ] && [ -x "$bin/shallotctl" ] &&
 		[ -x "$bin/play" ] || exit 2
