Tell the other targets of an opening packet where the flow opened

What callers saw: a flow that was kept open was reset at its next request after a planned restart, by a target that did not have the flow.

Cause: an opening packet that is unanswered after 30 ms goes to a second target. Both may answer, and callers echo the tag of the answer that came last. The node that opened the flow goes by its record, but a node without a record goes by the echo.

Change: once a later packet shows where the flow opened, the node sends the opening packet again to the other targets that it had sent it to, with the tag of the one that has the flow. From then on their answers, late or sent again, bear that tag too, so that the echo is right on any node. Nothing is sent after the 1.4 s for which a caller waits. The step is logged as flow_settled and counted as decision reason "settled".

Flows whose next packet goes to a node of another zone are not covered yet.

--- a/core/include/core/relay_director.h
+++ b/core/include/core/relay_director.h
@@ -31,6 +31,8 @@
 /*
  * Callbacks that carry out and report decisions. resend_opening sends the
  * opening packet of a flow again; the bytes are valid during the call only.
+ * settle_opening sends it to a target where the flow did not open, with the tag
+ * of the target where it did; it may be NULL, as then no target is told.
  * flow_moved reports that this node has taken over a flow from another node.
  * avoidance_started reports that a target, or the whole zone if target_id is
  * TARGET_NONE, is avoided from now on. warmup_changed reports that the rate of
@@ -46,6 +48,9 @@
 	void (*resend_opening)(void *context,
 			       const struct relay_verdict *verdict,
 			       const uint8_t *bytes, uint32_t length_bytes);
+	void (*settle_opening)(void *context,
+			       const struct relay_verdict *verdict,
+			       const uint8_t *bytes, uint32_t length_bytes);
 	void (*flow_moved)(void *context, struct hash128 flow_hash);
 	void (*avoidance_started)(void *context, uint64_t target_id,
 				  uint32_t zone_id);
--- a/core/src/base/reason.c
+++ b/core/src/base/reason.c
@@ -53,6 +53,7 @@
 	[REASON_TARGET_LOST] = "target_lost",
 	[REASON_IN_TURN] = "in_turn",
 	[REASON_STALE_PACKET] = "stale_packet",
+	[REASON_SETTLED] = "settled",
 };
 
 /* Returns the name used in decision log lines and counters. */
--- a/core/src/relay/relay_established.c
+++ b/core/src/relay/relay_established.c
@@ -2,6 +2,7 @@
 #include "relay_flow_match.h"
 #include "relay_request.h"
 #include "relay_room_keeper.h"
+#include "relay_settlement.h"
 #include "relay_stall.h"
 
 #include <core/relay_tag.h>
@@ -39,6 +40,7 @@
 			     struct relay_flow *flow, uint32_t tag,
 			     int64_t now_ms)
 {
+	relay_settlement_tell_targets(director, flow, tag, now_ms);
 	if (tag != flow->tag) {
 		relay_opening_remove_load(director, flow);
 		flow->tag = tag;
--- a/core/src/relay/relay_opening_life.c
+++ b/core/src/relay/relay_opening_life.c
@@ -9,6 +9,7 @@
  */
 #define COPY_COUNT_MAX 3
 #define TRANSIT_MS 50
+#define GIVE_UP_MS 1400
 
 static const uint16_t copy_interval_ms[COPY_COUNT_MAX] = {200, 400, 800};
 
@@ -42,3 +43,12 @@
 {
 	return now_ms - flow->used_ms < flow->opening_life_ms;
 }
+
+/*
+ * Returns whether the caller of a flow whose opening packet this node got may
+ * still be waiting for an answer.
+ */
+bool relay_opening_is_pending(const struct relay_flow *flow, int64_t now_ms)
+{
+	return (uint32_t)now_ms - flow->first_seen_ms < GIVE_UP_MS;
+}
--- a/core/src/relay/relay_opening_life.h
+++ b/core/src/relay/relay_opening_life.h
@@ -10,5 +10,6 @@
 void relay_opening_renew(struct relay_flow *flow,
 			 const struct relay_packet *packet, int64_t now_ms);
 bool relay_opening_is_current(const struct relay_flow *flow, int64_t now_ms);
+bool relay_opening_is_pending(const struct relay_flow *flow, int64_t now_ms);
 
 #endif
--- a/core/test/relay_steps.h
+++ b/core/test/relay_steps.h
@@ -1,6 +1,8 @@
 #ifndef RELAY_STEPS_H
 #define RELAY_STEPS_H
 
+#include "relay_step.h"
+
 #include <core/relay_director.h>
 #include <core/relay_tag.h>
 #include <core/service.h>
@@ -27,107 +29,16 @@
 #define SECOND_COPY 0x4000U
 #define LAST_COPY 0x8000U
 
-/* Targets: A and B in the node's own zone, C and D in another one. */
-enum { TARGET_A = 0xa1, TARGET_B = 0xb2, TARGET_C = 0xc3, TARGET_D = 0xd4 };
-
-/*
- * What a step does; a and b are its arguments. Of a caller, the lower half is
- * its port, and the upper half that of the sequence numbers of its packets, so
- * that flows from the same port can be told apart.
- */
-enum step_kind {
-	END,
-	/* First step: addresses may be used again after a ms. */
-	REUSED_AFTER,
-	/* Target a in zone b is serving. */
-	SERVES,
-	/* Target a in zone b is leaving. */
-	LEAVES,
-	/* Target a in zone b is serving, in a later incarnation. */
-	STARTS_AGAIN,
-	/* The entry of target a is removed from the store. */
-	REMOVED,
-	/* Target a in zone b is reassigned to another service. */
-	CHANGES_SERVICE,
-	/* Routes of version a; b is whether the address has a route. */
-	ROUTES,
-	/* Caller a opens a flow; b is its sequence number. */
-	OPENS,
-	/*
-	 * Reads an opening packet of caller a that arrived b ms ago. A bit of
-	 * a tells which copy it is.
-	 */
-	READS_LATE,
-	/* Caller a sends a packet with the tag of target b, 0 for none. */
-	SENDS,
-	/* Caller a sends a closing packet with the tag of target b. */
-	CLOSES,
-	/* Caller a resets its flow, with the tag of target b. */
-	RESETS,
-	/* Another node reports that it now carries caller a's flow. */
-	MOVED,
-	/* Another node reports a open flows at target b. */
-	REPORT,
-	/* Of zones 1 to 3, those whose bits are set in a are evacuated. */
-	EVACUATED,
-	/* There are a nodes in the own zone. */
-	NODES,
-	/* Target a in zone b is cold for a minute, in the same incarnation. */
-	IS_COLD,
-	/* The store lists this node. */
-	LISTS,
-	/* The node leaves, so that routers stop sending packets to it. */
-	NODE_LEAVES,
-	/* A router asks whether the node is ready. */
-	ASKED,
-	TICKS,
-	/* The node has records of a flows. */
-	HOLDS,
-};
-
 /*
- * The expected decision; target_id 0 or action -1 is not checked. For TICKS it
- * is the expected resend, and action -1 expects none.
+ * The last verdict, of a packet or a resend, and the number of resends. told is
+ * the last verdict on a target that was told where a flow opened, and
+ * told_count the number of those since the last step TOLD.
  */
-struct expected {
-	int action;
-	enum reason reason;
-	uint64_t target_id;
-};
-
-#define TO(target, reason)                                                     \
-	{                                                                      \
-		RELAY_FORWARD, reason, target                                  \
-	}
-#define TO_ANY(reason)                                                         \
-	{                                                                      \
-		RELAY_FORWARD, reason, 0                                       \
-	}
-#define RESET(reason)                                                          \
-	{                                                                      \
-		RELAY_RESET, reason, 0                                         \
-	}
-#define DROP(reason)                                                           \
-	{                                                                      \
-		RELAY_DROP, reason, 0                                          \
-	}
-#define NOTHING                                                                \
-	{                                                                      \
-		-1, REASON_NONE, 0                                             \
-	}
-
-struct step {
-	int64_t at_ms;
-	enum step_kind kind;
-	uint32_t a;
-	uint32_t b;
-	struct expected expected;
-};
-
-/* The last verdict, of a packet or a resend, and the number of resends. */
 struct observed {
 	struct relay_verdict verdict;
 	uint32_t resend_count;
+	struct relay_verdict told;
+	uint32_t told_count;
 };
 
 static inline void on_resend_opening(void *context,
@@ -141,6 +52,17 @@
 	observed->resend_count++;
 }
 
+static inline void on_settle_opening(void *context,
+				     const struct relay_verdict *verdict,
+				     const uint8_t *bytes,
+				     uint32_t length_bytes)
+{
+	struct observed *observed = context;
+
+	observed->told = *verdict;
+	observed->told_count++;
+}
+
 static inline void on_flow_moved(void *context, struct hash128 flow_hash)
 {
 }
@@ -277,6 +199,17 @@
 	g_array_free(peers, TRUE);
 }
 
+static inline void check_told(const struct step *step,
+			      struct observed *observed)
+{
+	ck_assert_uint_eq(observed->told_count, step->a ? 1 : 0);
+	observed->told_count = 0;
+	if (!step->a)
+		return;
+	ck_assert_uint_eq(observed->told.target_id, step->a);
+	ck_assert_uint_eq(observed->told.tag, relay_tag_of(step->b));
+}
+
 static inline void run_step(struct relay_director *director,
 			    const struct step *step, struct observed *observed)
 {
@@ -304,6 +237,9 @@
 	case MOVED:
 		report_flow_moved(director, step);
 		break;
+	case TOLD:
+		check_told(step, observed);
+		break;
 	case REPORT:
 		report_load(director, step);
 		break;
@@ -360,6 +296,7 @@
 		.warmup = {.self_id = SELF_ID},
 		.callbacks = {.context = &observed,
 			      .resend_opening = on_resend_opening,
+			      .settle_opening = on_settle_opening,
 			      .flow_moved = on_flow_moved,
 			      .avoidance_started = on_avoidance_started,
 			      .warmup_changed = on_warmup_changed},
--- a/daemon/src/relay/relay_forward.c
+++ b/daemon/src/relay/relay_forward.c
@@ -172,6 +172,22 @@
 	relay_sender_forward(relay->sender, verdict, bytes, length_bytes);
 }
 
+/*
+ * Callback of the director: tells a target that the flow opened at another one.
+ */
+void relay_forward_settle_opening(void *context,
+				  const struct relay_verdict *verdict,
+				  const uint8_t *bytes, uint32_t length_bytes)
+{
+	struct relay_task *relay = context;
+	struct relay_packet packet;
+
+	relay_counters_add_verdict(relay->counters, verdict);
+	if (echo_packet_parse(&packet, bytes, length_bytes))
+		relay_log_settled(relay->log, &packet, verdict);
+	relay_sender_forward(relay->sender, verdict, bytes, length_bytes);
+}
+
 /*
  * Callback of the director: reports to the nodes of the zone that this node has
  * taken over a flow.
--- a/daemon/src/relay/relay_log.c
+++ b/daemon/src/relay/relay_log.c
@@ -38,6 +38,24 @@
 		  state->update_age_ms);
 }
 
+/*
+ * Logs that a target is told of the one where a flow opened, which tag
+ * identifies.
+ */
+void relay_log_settled(struct log *log, const struct relay_packet *packet,
+		       const struct relay_verdict *verdict)
+{
+	char caller[ENDPOINT_TEXT_BYTES];
+	char service[ENDPOINT_TEXT_BYTES];
+
+	log_write(log, LOG_LEVEL_INFO, "flow_settled",
+		  "caller=%s service=%s target=%" PRIx64 " tag=%08" PRIx32
+		  " try=%u",
+		  endpoint_format(&packet->caller, caller),
+		  endpoint_format(&packet->service, service),
+		  verdict->target_id, verdict->tag, verdict->try_count);
+}
+
 /*
  * Logs the id of a request with the flow that carries it, so that the flow can
  * be found by the id.
--- a/daemon/src/relay/relay_log.h
+++ b/daemon/src/relay/relay_log.h
@@ -27,6 +27,8 @@
 void relay_log_verdict(struct log *log, const struct relay_packet *packet,
 		       const struct relay_verdict *verdict,
 		       const struct relay_log_state *state);
+void relay_log_settled(struct log *log, const struct relay_packet *packet,
+		       const struct relay_verdict *verdict);
 void relay_log_packet(struct log *log, const struct relay_packet *packet,
 		      const struct relay_verdict *verdict,
 		      const struct relay_log_state *state, const uint8_t *bytes,
--- a/daemon/src/relay/relay_task.c
+++ b/daemon/src/relay/relay_task.c
@@ -216,6 +216,7 @@
 				   relay->settings->relay.warmup_burst_milli},
 		.callbacks = {.context = relay,
 			      .resend_opening = relay_forward_resend_opening,
+			      .settle_opening = relay_forward_settle_opening,
 			      .flow_moved = relay_forward_flow_moved,
 			      .avoidance_started = relay_forward_health_changed,
 			      .warmup_changed = relay_forward_warmup_changed,
