Ask all nodes for flows whose next packet does not come

Cause: the word that a node has taken over a flow stays in the zone of that node. While a zone has no node in rotation, its callers use the nodes of all other zones, and when one of these joins or leaves, a flow that is opening moves between two zones. The node that opened it resends the opening packet to two more targets, whose later answers leave the wrong tag with the caller. When the zone's own node is back, it has no record and goes by the tag.

It depends on the time of a restart alone.

Change: a node that gives up on an opening packet asks all nodes for the flow, three times within 0.6 s. Word of moved flows within a zone states the tag too, behind the fields of version 1. Questions are held to the bandwidth of reports to other zones.

Tests: relay_search; taken_flow, which failed in 2 of 2 rows before; relay_codec with a message of version 1.

--- a/core/include/core/relay_director.h
+++ b/core/include/core/relay_director.h
@@ -8,6 +8,7 @@
 #include <core/relay_packet.h>
 #include <core/relay_route_table.h>
 #include <core/relay_silence.h>
+#include <core/relay_sought_flow.h>
 #include <core/relay_spread.h>
 #include <core/relay_target_silence.h>
 #include <core/relay_verdict.h>
@@ -33,7 +34,8 @@
  * opening packet of a flow again; the bytes are valid during the call only.
  * settle_opening sends it to a target where the flow did not open, with the tag
  * of the target where it did; it may be NULL, as then no target is told.
- * flow_moved reports that this node has taken over a flow from another node.
+ * flow_moved reports that this node has taken over a flow, whose target the tag
+ * identifies, from another node.
  * avoidance_started reports that a target, or the whole zone if target_id is
  * TARGET_NONE, is avoided from now on. warmup_changed reports that the rate of
  * a cold target applies from now on, or no longer; it is only called if the
@@ -51,7 +53,8 @@
 	void (*settle_opening)(void *context,
 			       const struct relay_verdict *verdict,
 			       const uint8_t *bytes, uint32_t length_bytes);
-	void (*flow_moved)(void *context, struct hash128 flow_hash);
+	void (*flow_moved)(void *context, struct hash128 flow_hash,
+			   uint32_t tag);
 	void (*avoidance_started)(void *context, uint64_t target_id,
 				  uint32_t zone_id);
 	void (*warmup_changed)(void *context, const struct relay_target *entry,
@@ -100,7 +103,16 @@
 			      const GArray *peers, int64_t now_ms);
 uint64_t relay_director_config_version(const struct relay_director *director);
 void relay_director_handle_flow_moved(struct relay_director *director,
-				      struct hash128 flow_hash);
+				      struct hash128 flow_hash, uint32_t tag,
+				      int64_t now_ms);
+uint32_t relay_director_take_sought(struct relay_director *director,
+				    struct relay_sought_flow *flows,
+				    int64_t now_ms);
+uint32_t relay_director_find_tag(struct relay_director *director,
+				 const struct relay_sought_flow *sought);
+void relay_director_handle_flow_found(struct relay_director *director,
+				      struct hash128 flow_hash, uint32_t tag,
+				      int64_t now_ms);
 void relay_director_handle_target_report(
 	struct relay_director *director,
 	const struct relay_target_report *report, int64_t now_ms);
--- a/core/src/relay/relay_director.c
+++ b/core/src/relay/relay_director.c
@@ -120,6 +120,7 @@
 	director->loads = relay_loads_new(director->directory);
 	director->evacuations = relay_evacuations_new();
 	director->flows = relay_flow_table_new(options->flow_capacity);
+	director->sought = relay_sought_new();
 	director->zone_health = relay_zone_health_new();
 	director->warmup = relay_warmup_new(&options->warmup);
 	director->silence = make_silence(options);
@@ -141,6 +142,7 @@
 	relay_target_silence_free(director->target_silence);
 	relay_silence_free(director->silence);
 	relay_zone_health_free(director->zone_health);
+	relay_sought_free(director->sought);
 	relay_flow_table_free(director->flows);
 	relay_evacuations_free(director->evacuations);
 	relay_loads_free(director->loads);
@@ -262,22 +264,6 @@
 				: 0;
 }
 
-/*
- * Handles another node's report that it has taken over a flow: the flow is no
- * longer counted, and its opening packet not resent.
- */
-void relay_director_handle_flow_moved(struct relay_director *director,
-				      struct hash128 flow_hash)
-{
-	struct relay_flow *flow =
-		relay_flow_table_find(director->flows, flow_hash);
-
-	if (!flow || flow->state == RELAY_FLOW_CLOSED)
-		return;
-	relay_opening_remove_load(director, flow);
-	relay_flow_table_set_state(director->flows, flow, RELAY_FLOW_MOVED);
-}
-
 /*
  * Handles what another node of this zone sees of a target; ignores one that
  * this node doesn't know.
--- a/core/src/relay/relay_director_state.h
+++ b/core/src/relay/relay_director_state.h
@@ -10,6 +10,7 @@
 #include <core/relay_zone_health.h>
 
 #include "relay_rotation.h"
+#include "relay_sought.h"
 
 /*
  * now_ms is the time of the choice in progress, for its callbacks. node_count
@@ -26,6 +27,7 @@
 	struct relay_evacuations *evacuations;
 	struct relay_route_table *routes;
 	struct relay_flow_table *flows;
+	struct relay_sought *sought;
 	struct relay_zone_health *zone_health;
 	struct relay_silence *silence;
 	struct relay_isolation *isolation;
--- a/core/src/relay/relay_established.c
+++ b/core/src/relay/relay_established.c
@@ -28,7 +28,7 @@
 	relay_stall_begin(flow, packet);
 	relay_request_take_over(flow);
 	relay_opening_add_load(director, flow);
-	callbacks->flow_moved(callbacks->context, flow->hash);
+	callbacks->flow_moved(callbacks->context, flow->hash, flow->tag);
 }
 
 /*
--- a/core/src/relay/relay_flow_match.c
+++ b/core/src/relay/relay_flow_match.c
@@ -7,8 +7,11 @@
  */
 #define MOVED_BYTES_MAX (1U << 24)
 
-/* Sequence numbers wrap around, and packets may arrive out of order. */
-static bool is_near(uint32_t left, uint32_t right)
+/*
+ * Returns whether two sequence numbers may be of the same flow. They wrap
+ * around, and packets may arrive out of order.
+ */
+bool relay_flow_is_near(uint32_t left, uint32_t right)
 {
 	return left - right + MOVED_BYTES_MAX <= 2 * MOVED_BYTES_MAX;
 }
@@ -21,7 +24,8 @@
 bool relay_flow_matches(const struct relay_flow *flow,
 			const struct relay_packet *packet)
 {
-	return is_near(packet->sequence, flow->last_sequence) &&
+	return relay_flow_is_near(packet->sequence, flow->last_sequence) &&
 	       (!relay_flow_has_target(flow) || packet->is_reset ||
-		is_near(packet->acknowledged, flow->last_acknowledged));
+		relay_flow_is_near(packet->acknowledged,
+				   flow->last_acknowledged));
 }
--- a/core/src/relay/relay_flow_match.h
+++ b/core/src/relay/relay_flow_match.h
@@ -8,6 +8,7 @@
  * Tells the packets of a recorded flow from those of an earlier or later flow
  * between the same ports.
  */
+bool relay_flow_is_near(uint32_t left, uint32_t right);
 bool relay_flow_matches(const struct relay_flow *flow,
 			const struct relay_packet *packet);
 
--- a/core/src/relay/relay_opening.c
+++ b/core/src/relay/relay_opening.c
@@ -20,44 +20,17 @@
 /* A check of an unanswered opening packet is at most this late. */
 #define LATE_CHECK_MS 100
 
-/* Returns the hash of a packet's flow, which is the same on all nodes. */
-struct hash128 relay_packet_flow_hash(const struct relay_director *director,
-				      const struct relay_packet *packet)
-{
-	const struct flow_key key = {
-		.caller = packet->caller,
-		.service = packet->service,
-		.protocol = FLOW_PROTOCOL_UDP,
-	};
-
-	return flow_key_hash(&key, director->options.flow_seed);
-}
-
-/* Adds the flow to the open flows of its target. */
-void relay_opening_add_load(struct relay_director *director,
-			    struct relay_flow *flow)
-{
-	struct relay_target *entry =
-		relay_directory_find(director->directory, flow->tag);
-
-	if (flow->is_counted || !entry)
-		return;
-	relay_directory_add_open_flow(director->directory, entry);
-	relay_flow_table_set_counted(director->flows, flow, true);
-}
-
-/* Removes the flow from the open flows of its target. */
-void relay_opening_remove_load(struct relay_director *director,
-			       struct relay_flow *flow)
+/*
+ * Ends an opening that no target has answered. A target may have the flow all
+ * the same, if the caller's next packet went to another node.
+ */
+static void end_opening(struct relay_director *director,
+			struct relay_flow *flow, int64_t now_ms)
 {
-	struct relay_target *entry =
-		relay_directory_find(director->directory, flow->tag);
-
-	if (!flow->is_counted)
-		return;
-	if (entry && entry->own_open_count > 0)
-		entry->own_open_count--;
-	relay_flow_table_set_counted(director->flows, flow, false);
+	relay_opening_remove_load(director, flow);
+	relay_flow_table_set_state(director->flows, flow, RELAY_FLOW_ENDED);
+	if (flow->try_count > 0)
+		relay_sought_add(director->sought, flow->hash, now_ms);
 }
 
 /*
@@ -78,8 +51,7 @@
 			director, flow->service_id, now_ms);
 	if (verdict.reason != REASON_WARMUP_LIMIT)
 		relay_isolation_record_failure(director->isolation);
-	relay_opening_remove_load(director, flow);
-	relay_flow_table_set_state(director->flows, flow, RELAY_FLOW_ENDED);
+	end_opening(director, flow, now_ms);
 	return verdict;
 }
 
@@ -363,18 +335,13 @@
 	if (now_ms - flow->sent_ms < timeout_ms + LATE_CHECK_MS)
 		record_timeout(director, flow, now_ms);
 	if (!may_resend(director, flow, now_ms)) {
-		relay_opening_remove_load(director, flow);
-		relay_flow_table_set_state(director->flows, flow,
-					   RELAY_FLOW_ENDED);
+		end_opening(director, flow, now_ms);
 		return;
 	}
 	verdict = assign_target(director, flow, REASON_UNANSWERED, now_ms);
 	if (verdict.action == RELAY_FORWARD)
 		callbacks->resend_opening(callbacks->context, &verdict,
 					  flow->opening, flow->opening_bytes);
-	else
-		relay_flow_table_set_state(director->flows, flow,
-					   RELAY_FLOW_ENDED);
 }
 
 /*
--- a/core/test/cold_fleet.h
+++ b/core/test/cold_fleet.h
@@ -109,7 +109,7 @@
 	record_opening(node->fleet, verdict->target_id);
 }
 
-static void on_flow_moved(void *context, struct hash128 flow_hash)
+static void on_flow_moved(void *context, struct hash128 flow_hash, uint32_t tag)
 {
 }
 
--- a/core/test/relay_room_callers.h
+++ b/core/test/relay_room_callers.h
@@ -85,7 +85,8 @@
 {
 }
 
-static inline void discard_moved(void *context, struct hash128 flow_hash)
+static inline void discard_moved(void *context, struct hash128 flow_hash,
+				 uint32_t tag)
 {
 }
 
--- a/core/test/relay_stall_test.c
+++ b/core/test/relay_stall_test.c
@@ -201,7 +201,7 @@
 {
 }
 
-static void discard_moved(void *context, struct hash128 flow_hash)
+static void discard_moved(void *context, struct hash128 flow_hash, uint32_t tag)
 {
 }
 
--- a/core/test/relay_step.h
+++ b/core/test/relay_step.h
@@ -41,8 +41,20 @@
 	CLOSES,
 	/* Caller a resets its flow, with the tag of target b. */
 	RESETS,
-	/* Another node reports that it now carries caller a's flow. */
+	/*
+	 * Another node reports that it now carries caller a's flow, and that
+	 * the flow is at target b; 0 if it does not state that.
+	 */
 	MOVED,
+	/* The node seeks a flows at the others. */
+	SEEKS,
+	/* Another node has caller a's flow, which is at target b. */
+	FOUND,
+	/*
+	 * Another node seeks caller a's flow, and is told that it is at target
+	 * b; 0 if it is not open here.
+	 */
+	IS_ASKED_FOR,
 	/*
 	 * Since the last such step, target a was told that a flow opened at
 	 * target b; 0 for none.
--- a/core/test/relay_steps.h
+++ b/core/test/relay_steps.h
@@ -63,7 +63,8 @@
 	observed->told_count++;
 }
 
-static inline void on_flow_moved(void *context, struct hash128 flow_hash)
+static inline void on_flow_moved(void *context, struct hash128 flow_hash,
+				 uint32_t tag)
 {
 }
 
@@ -144,15 +145,39 @@
 	relay_director_set_routes(director, table);
 }
 
-static inline void report_flow_moved(struct relay_director *director,
-				     const struct step *step)
+static inline struct hash128 flow_hash_of(const struct step *step)
 {
 	struct relay_packet packet = packet_of(step);
 	struct flow_key key = {.caller = packet.caller,
 			       .service = packet.service,
 			       .protocol = FLOW_PROTOCOL_UDP};
 
-	relay_director_handle_flow_moved(director, flow_key_hash(&key, 0));
+	return flow_key_hash(&key, 0);
+}
+
+static inline uint32_t tag_of(uint32_t target)
+{
+	return target ? relay_tag_of(target) : RELAY_TAG_NONE;
+}
+
+static inline void check_sought(struct relay_director *director,
+				const struct step *step)
+{
+	struct relay_sought_flow flows[RELAY_SOUGHT_COUNT_MAX];
+
+	ck_assert_uint_eq(
+		relay_director_take_sought(director, flows, step->at_ms),
+		step->a);
+}
+
+static inline void check_answer(struct relay_director *director,
+				const struct step *step)
+{
+	const struct relay_sought_flow sought = {flow_hash_of(step),
+						 packet_of(step).sequence};
+
+	ck_assert_uint_eq(relay_director_find_tag(director, &sought),
+			  tag_of(step->b));
 }
 
 static inline void report_load(struct relay_director *director,
@@ -207,7 +232,7 @@
 	if (!step->a)
 		return;
 	ck_assert_uint_eq(observed->told.target_id, step->a);
-	ck_assert_uint_eq(observed->told.tag, relay_tag_of(step->b));
+	ck_assert_uint_eq(observed->told.tag, tag_of(step->b));
 }
 
 static inline void run_step(struct relay_director *director,
@@ -235,7 +260,18 @@
 		set_routes(director, step);
 		break;
 	case MOVED:
-		report_flow_moved(director, step);
+		relay_director_handle_flow_moved(director, flow_hash_of(step),
+						 tag_of(step->b), step->at_ms);
+		break;
+	case FOUND:
+		relay_director_handle_flow_found(director, flow_hash_of(step),
+						 tag_of(step->b), step->at_ms);
+		break;
+	case SEEKS:
+		check_sought(director, step);
+		break;
+	case IS_ASKED_FOR:
+		check_answer(director, step);
 		break;
 	case TOLD:
 		check_told(step, observed);
--- a/ctl/src/decide_relay.c
+++ b/ctl/src/decide_relay.c
@@ -33,7 +33,7 @@
 {
 }
 
-static void discard_moved(void *context, struct hash128 hash)
+static void discard_moved(void *context, struct hash128 hash, uint32_t tag)
 {
 }
 
--- a/ctl/src/decide_relay_ticks.c
+++ b/ctl/src/decide_relay_ticks.c
@@ -37,7 +37,7 @@
 	{"relay_ticks_5900_targets", 5900},
 };
 
-static void discard_moved(void *context, struct hash128 hash)
+static void discard_moved(void *context, struct hash128 hash, uint32_t tag)
 {
 }
 
--- a/daemon/src/relay/relay_counters.c
+++ b/daemon/src/relay/relay_counters.c
@@ -44,6 +44,13 @@
 				  COUNTER_GAUGE},
 	[RELAY_PEERS] = {"shallot_relay_peers", "other nodes known",
 			 COUNTER_GAUGE},
+	[RELAY_FLOWS_SOUGHT] = {"shallot_relay_sought_total",
+				"times that other nodes were asked for a flow "
+				"that was opened here",
+				COUNTER_TOTAL},
+	[RELAY_FLOWS_FOUND] = {"shallot_relay_found_total",
+			       "answers that a node has such a flow",
+			       COUNTER_TOTAL},
 	[RELAY_BUSIEST_MILLI] = {"shallot_relay_busiest_milli",
 				 "load of the own zone's busiest target, in "
 				 "thousandths of its service's mean",
--- a/daemon/src/relay/relay_forward.c
+++ b/daemon/src/relay/relay_forward.c
@@ -192,11 +192,12 @@
  * Callback of the director: reports to the nodes of the zone that this node has
  * taken over a flow.
  */
-void relay_forward_flow_moved(void *context, struct hash128 flow_hash)
+void relay_forward_flow_moved(void *context, struct hash128 flow_hash,
+			      uint32_t tag)
 {
 	struct relay_task *relay = context;
 
-	relay_peers_queue_moved_flow(relay->peers, flow_hash);
+	relay_peers_queue_moved_flow(relay->peers, flow_hash, tag);
 }
 
 /* Callback of the director: counts and logs an avoided target or zone. */
--- a/daemon/src/relay/relay_peers.c
+++ b/daemon/src/relay/relay_peers.c
@@ -1,5 +1,6 @@
 #include "relay_peers.h"
 
+#include "peer_flows.h"
 #include "peer_list.h"
 
 #include <core/relay_message.h>
@@ -29,12 +30,6 @@
 #define OWN_ZONE_MIN_INTERVAL_MS 25
 #define OTHER_ZONES_MIN_INTERVAL_MS 200
 
-/*
- * How long moved flows are collected for one message. The node that opened a
- * flow must know before it may resend the opening packet, 30 ms after it.
- */
-#define MOVED_DELAY_MS 5
-
 /* An unchanged report is resent before its receivers expire the last one. */
 #define UNCHANGED_INTERVAL_MS 500
 
@@ -55,7 +50,7 @@
 struct relay_peers {
 	struct relay_peers_options options;
 	struct udp_socket *socket;
-	struct timer *moved_timer;
+	struct peer_flows *flows;
 	GArray *list;
 	/* Maps each node id to the time when the node's last report arrived. */
 	GHashTable *last_report_ms;
@@ -63,7 +58,6 @@
 	uint32_t zone_id;
 	struct report_group own_zone;
 	struct report_group other_zones;
-	struct relay_message moved_flows;
 	struct zone_beat beat;
 };
 
@@ -127,8 +121,10 @@
 	if (message->kind == RELAY_MESSAGE_TARGET)
 		relay_director_handle_target_report(director, &message->target,
 						    task_now_ms());
-	for (uint32_t i = 0; i < message->flow_count; i++)
-		relay_director_handle_flow_moved(director, message->flows[i]);
+	if (message->kind == RELAY_MESSAGE_FOUND)
+		counter_set_add(peers->options.counters, RELAY_FLOWS_FOUND,
+				message->flow_count);
+	peer_flows_handle(peers->flows, sender, message, task_now_ms());
 }
 
 static void on_datagram(void *context, const struct endpoint *from,
@@ -217,35 +213,59 @@
 	memcpy(group->last_datagram, bytes, length_bytes);
 }
 
-/* Timer callback: sends the moved flows. */
-static void send_moved_flows(void *context)
+/*
+ * Encodes a message from this node. Returns its length in bytes, 0 if it is too
+ * long.
+ */
+static uint32_t encode(const struct relay_peers *peers,
+		       const struct relay_message *message, uint8_t *bytes)
+{
+	struct relay_message copy = *message;
+
+	copy.node_id = peers->self_id;
+	return relay_codec_encode(&copy, bytes, RELAY_DATAGRAM_BYTES_MAX);
+}
+
+static void send_to_zone(void *context, const struct relay_message *message)
+{
+	relay_peers_send_to_own_zone(context, message);
+}
+
+static uint32_t send_to_all(void *context, const struct relay_message *message)
 {
 	struct relay_peers *peers = context;
 	uint8_t bytes[RELAY_DATAGRAM_BYTES_MAX];
-	uint32_t length_bytes;
-
-	if (peers->moved_flows.flow_count == 0)
-		return;
-	length_bytes =
-		relay_codec_encode(&peers->moved_flows, bytes, sizeof(bytes));
-	send_to_peers(peers, true, bytes, length_bytes);
-	peers->moved_flows.flow_count = 0;
+	uint32_t length_bytes = encode(peers, message, bytes);
+	uint32_t receiver_count =
+		send_to_peers(peers, true, bytes, length_bytes);
+
+	receiver_count += send_to_peers(peers, false, bytes, length_bytes);
+	counter_set_add(peers->options.counters, RELAY_FLOWS_SOUGHT,
+			message->flow_count);
+	return relay_report_interval_ms(receiver_count, length_bytes,
+					OTHER_ZONES_BYTES_PER_S);
 }
 
-static void send_beat(void *context, const struct relay_peer *peer)
+static void send_to(void *context, const struct relay_peer *peer,
+		    const struct relay_message *message)
 {
 	struct relay_peers *peers = context;
-	struct relay_message message = {.kind = RELAY_MESSAGE_MOVED,
-					.node_id = peers->self_id};
 	uint8_t bytes[RELAY_DATAGRAM_BYTES_MAX];
-	uint32_t length_bytes =
-		relay_codec_encode(&message, bytes, sizeof(bytes));
+	uint32_t length_bytes = encode(peers, message, bytes);
 
 	if (udp_socket_send(peers->socket, &peer->endpoint, bytes,
 			    length_bytes))
 		increment(peers, RELAY_PEER_MESSAGES_SENT);
 }
 
+static void send_beat(void *context, const struct relay_peer *peer)
+{
+	static const struct relay_message message = {
+		.kind = RELAY_MESSAGE_MOVED};
+
+	send_to(context, peer, &message);
+}
+
 /*
  * Opens the socket for messages between nodes in the task. Free the result with
  * relay_peers_free. Fails with TASK_ERROR.
@@ -262,6 +282,7 @@
 		.context = peers,
 		.receive = on_datagram,
 	};
+	struct peer_flows_options flows;
 
 	peers->options = *options;
 	peers->list = g_array_new(FALSE, TRUE, sizeof(struct relay_peer));
@@ -279,9 +300,14 @@
 		.min_interval_ms = OTHER_ZONES_MIN_INTERVAL_MS,
 	};
 	peers->beat.number = (uint32_t)peers->self_id;
-	peers->moved_flows.kind = RELAY_MESSAGE_MOVED;
-	peers->moved_flows.node_id = peers->self_id;
-	peers->moved_timer = timer_new(task, peers, send_moved_flows);
+	flows = (struct peer_flows_options){
+		.director = options->director,
+		.context = peers,
+		.send_to_zone = send_to_zone,
+		.send_to_all = send_to_all,
+		.send_to = send_to,
+	};
+	peers->flows = peer_flows_new(task, &flows);
 	peers->socket = udp_socket_new(task, &socket, error);
 	if (peers->socket)
 		return peers;
@@ -294,7 +320,7 @@
 {
 	if (!peers)
 		return;
-	timer_free(peers->moved_timer);
+	peer_flows_free(peers->flows);
 	udp_socket_free(peers->socket);
 	g_array_free(peers->list, TRUE);
 	g_hash_table_destroy(peers->last_report_ms);
@@ -338,13 +364,9 @@
 
 /* Queues the report of a flow that this node has taken over. */
 void relay_peers_queue_moved_flow(struct relay_peers *peers,
-				  struct hash128 flow_hash)
+				  struct hash128 flow_hash, uint32_t tag)
 {
-	if (peers->moved_flows.flow_count == RELAY_MESSAGE_FLOW_COUNT_MAX)
-		send_moved_flows(peers);
-	if (peers->moved_flows.flow_count == 0)
-		timer_once(peers->moved_timer, MOVED_DELAY_MS);
-	peers->moved_flows.flows[peers->moved_flows.flow_count++] = flow_hash;
+	peer_flows_queue_moved(peers->flows, flow_hash, tag);
 }
 
 /*
@@ -354,23 +376,18 @@
 void relay_peers_send_to_own_zone(struct relay_peers *peers,
 				  const struct relay_message *message)
 {
-	struct relay_message copy = *message;
 	uint8_t bytes[RELAY_DATAGRAM_BYTES_MAX];
-	uint32_t length_bytes;
+	uint32_t length_bytes = encode(peers, message, bytes);
 
-	copy.node_id = peers->self_id;
-	length_bytes = relay_codec_encode(&copy, bytes, sizeof(bytes));
 	send_to_peers(peers, true, bytes, length_bytes);
 }
 
-/*
- * Sends the queued moved flows, and the load reports and signs of life that are
- * due.
- */
+/* Sends the load reports, questions and signs of life that are due. */
 void relay_peers_tick(struct relay_peers *peers, int64_t now_ms)
 {
 	send_report(peers, &peers->own_zone, now_ms);
 	send_report(peers, &peers->other_zones, now_ms);
+	peer_flows_tick(peers->flows, now_ms);
 	if (zone_beat_is_due(&peers->beat, now_ms))
 		zone_beat_for_each(&peers->beat, peers->list, peers->zone_id,
 				   peers, send_beat);
--- a/daemon/src/relay/relay_peers.h
+++ b/daemon/src/relay/relay_peers.h
@@ -34,7 +34,7 @@
 void relay_peers_free(struct relay_peers *peers);
 void relay_peers_set(struct relay_peers *peers, const GArray *list);
 void relay_peers_queue_moved_flow(struct relay_peers *peers,
-				  struct hash128 flow_hash);
+				  struct hash128 flow_hash, uint32_t tag);
 void relay_peers_send_to_own_zone(struct relay_peers *peers,
 				  const struct relay_message *message);
 void relay_peers_tick(struct relay_peers *peers, int64_t now_ms);
--- a/daemon/src/relay/relay_task_state.h
+++ b/daemon/src/relay/relay_task_state.h
@@ -63,7 +63,8 @@
 void relay_forward_settle_opening(void *context,
 				  const struct relay_verdict *verdict,
 				  const uint8_t *bytes, uint32_t length_bytes);
-void relay_forward_flow_moved(void *context, struct hash128 flow_hash);
+void relay_forward_flow_moved(void *context, struct hash128 flow_hash,
+			      uint32_t tag);
 void relay_forward_health_changed(void *context, uint64_t target_id,
 				  uint32_t zone_id);
 void relay_forward_room_changed(void *context,
--- a/wire/gen/relay.h
+++ b/wire/gen/relay.h
@@ -15,6 +15,7 @@
 
 #define RELAY_WIRE_LOADS_MAX 160
 #define RELAY_WIRE_FLOWS_MAX 80
+#define RELAY_WIRE_NUMBERS_MAX 64
 #define RELAY_WIRE_STALLS_MAX 8
 
 struct relay_wire_load {
@@ -47,6 +48,14 @@
 };
 typedef struct relay_wire_moved relay_wire_moved;
 
+struct relay_wire_numbers {
+	struct {
+		u_int numbers_len;
+		u_int *numbers_val;
+	} numbers;
+};
+typedef struct relay_wire_numbers relay_wire_numbers;
+
 struct relay_wire_zone {
 	u_quad_t node_id;
 	u_int zone_id;
@@ -74,6 +83,7 @@
 extern  bool_t xdr_relay_wire_loads (XDR *, relay_wire_loads*);
 extern  bool_t xdr_relay_wire_print (XDR *, relay_wire_print*);
 extern  bool_t xdr_relay_wire_moved (XDR *, relay_wire_moved*);
+extern  bool_t xdr_relay_wire_numbers (XDR *, relay_wire_numbers*);
 extern  bool_t xdr_relay_wire_zone (XDR *, relay_wire_zone*);
 extern  bool_t xdr_relay_wire_target (XDR *, relay_wire_target*);
 
@@ -82,6 +92,7 @@
 extern bool_t xdr_relay_wire_loads ();
 extern bool_t xdr_relay_wire_print ();
 extern bool_t xdr_relay_wire_moved ();
+extern bool_t xdr_relay_wire_numbers ();
 extern bool_t xdr_relay_wire_zone ();
 extern bool_t xdr_relay_wire_target ();
 
--- a/wire/gen/relay_xdr.c
+++ b/wire/gen/relay_xdr.c
@@ -55,6 +55,17 @@
 	return TRUE;
 }
 
+bool_t
+xdr_relay_wire_numbers (XDR *xdrs, relay_wire_numbers *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->numbers.numbers_val, (u_int *) &objp->numbers.numbers_len, RELAY_WIRE_NUMBERS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_relay_wire_zone (XDR *xdrs, relay_wire_zone *objp)
 {
--- a/wire/src/relay_codec.c
+++ b/wire/src/relay_codec.c
@@ -5,7 +5,8 @@
 #include <string.h>
 #include <wire/procedure.h>
 
-static bool xdr_loads(XDR *xdrs, struct relay_message *message)
+static bool xdr_loads(XDR *xdrs, struct relay_message *message,
+		      uint32_t size_bytes)
 {
 	struct relay_wire_load loads[RELAY_WIRE_LOADS_MAX];
 	struct relay_wire_loads wire = {.node_id = message->node_id};
@@ -27,7 +28,7 @@
 	return true;
 }
 
-static bool xdr_moved(XDR *xdrs, struct relay_message *message)
+static bool xdr_flows(XDR *xdrs, struct relay_message *message)
 {
 	struct relay_wire_print flows[RELAY_WIRE_FLOWS_MAX];
 	struct relay_wire_moved wire = {.node_id = message->node_id};
@@ -49,7 +50,40 @@
 	return true;
 }
 
-static bool xdr_zone(XDR *xdrs, struct relay_message *message)
+/* There is a number for each flow. */
+static bool xdr_numbers(XDR *xdrs, struct relay_message *message)
+{
+	struct relay_wire_numbers wire;
+
+	wire.numbers.numbers_val = message->numbers;
+	wire.numbers.numbers_len = message->number_count;
+	if (!xdr_relay_wire_numbers(xdrs, &wire))
+		return false;
+	message->number_count = wire.numbers.numbers_len;
+	return message->number_count == message->flow_count;
+}
+
+/* Nodes of version 1 state no tags. */
+static bool xdr_moved(XDR *xdrs, struct relay_message *message,
+		      uint32_t size_bytes)
+{
+	bool has_tags;
+
+	if (!xdr_flows(xdrs, message))
+		return false;
+	has_tags = xdrs->x_op == XDR_DECODE ? xdr_getpos(xdrs) < size_bytes
+					    : message->number_count > 0;
+	return !has_tags || xdr_numbers(xdrs, message);
+}
+
+static bool xdr_numbered_flows(XDR *xdrs, struct relay_message *message,
+			       uint32_t size_bytes)
+{
+	return xdr_flows(xdrs, message) && xdr_numbers(xdrs, message);
+}
+
+static bool xdr_zone(XDR *xdrs, struct relay_message *message,
+		     uint32_t size_bytes)
 {
 	struct relay_zone_report *zone = &message->zone;
 	struct relay_wire_zone wire = {
@@ -69,7 +103,8 @@
 	return true;
 }
 
-static bool xdr_target(XDR *xdrs, struct relay_message *message)
+static bool xdr_target(XDR *xdrs, struct relay_message *message,
+		       uint32_t size_bytes)
 {
 	struct relay_target_report *target = &message->target;
 	struct relay_wire_target wire = {
@@ -90,13 +125,18 @@
 	return true;
 }
 
-/* Each function encodes or decodes a body, according to the XDR operation. */
+/*
+ * Each function encodes or decodes a body, according to the XDR operation.
+ * size_bytes is the size of the message or, to encode it, of the buffer.
+ */
 static bool (*const body_codecs[RELAY_MESSAGE_KIND_COUNT])(
-	XDR *xdrs, struct relay_message *message) = {
+	XDR *xdrs, struct relay_message *message, uint32_t size_bytes) = {
 	[RELAY_MESSAGE_LOADS] = xdr_loads,
 	[RELAY_MESSAGE_MOVED] = xdr_moved,
 	[RELAY_MESSAGE_ZONE] = xdr_zone,
 	[RELAY_MESSAGE_TARGET] = xdr_target,
+	[RELAY_MESSAGE_SOUGHT] = xdr_numbered_flows,
+	[RELAY_MESSAGE_FOUND] = xdr_numbered_flows,
 };
 
 /*
@@ -117,7 +157,7 @@
 	header.rm_call.cb_proc = PROCEDURE_RELAY_FIRST + message->kind;
 	xdrmem_create(&xdrs, (char *)bytes, size_bytes, XDR_ENCODE);
 	if (!xdr_callmsg(&xdrs, &header) ||
-	    !body_codecs[message->kind](&xdrs, &copy))
+	    !body_codecs[message->kind](&xdrs, &copy, size_bytes))
 		return 0;
 	return xdr_getpos(&xdrs);
 }
@@ -153,5 +193,5 @@
 	memset(message, 0, sizeof(*message));
 	xdrmem_create(&xdrs, (char *)bytes, length_bytes, XDR_DECODE);
 	return read_header(message, &xdrs) &&
-	       body_codecs[message->kind](&xdrs, message);
+	       body_codecs[message->kind](&xdrs, message, length_bytes);
 }
--- a/wire/x/relay.x
+++ b/wire/x/relay.x
@@ -5,6 +5,7 @@
  */
 const RELAY_WIRE_LOADS_MAX = 160;
 const RELAY_WIRE_FLOWS_MAX = 80;
+const RELAY_WIRE_NUMBERS_MAX = 64;
 const RELAY_WIRE_STALLS_MAX = 8;
 
 /* The number of the sender's open flows to the target with this tag. */
@@ -24,12 +25,24 @@
 	unsigned hyper low;
 };
 
-/* Flows that the sender has taken over from other nodes. */
+/*
+ * Flows that the sender has taken over from other nodes, that it seeks, or that
+ * were sought from it. relay_wire_numbers follows, which messages about flows
+ * taken over lack in version 1.
+ */
 struct relay_wire_moved {
 	unsigned hyper node_id;
 	relay_wire_print flows<RELAY_WIRE_FLOWS_MAX>;
 };
 
+/*
+ * A number for each flow: the tag of its target or, of a flow that the sender
+ * seeks, the sequence number of its opening packet.
+ */
+struct relay_wire_numbers {
+	unsigned int numbers<RELAY_WIRE_NUMBERS_MAX>;
+};
+
 /*
  * What the sender sees of a zone: is_alive is 1 if a sign of life came from it.
  * tags identify targets there that leave packets unanswered.
