Keep the target of a flow that comes back

Cause: a record of a flow that another node has taken over took the target from the tag again when the flow came back, though this node had seen where it is open. The tag may be that of a target that answered late.

Change: a record that was open keeps its target when the flow moves, and the flow, when it comes back, is taken over anew: the zone's nodes are told, and its load counts here. A later flow from the same port is told apart by both ends' sequence numbers, as for an open one.

--- a/core/include/core/relay_flow.h
+++ b/core/include/core/relay_flow.h
@@ -67,9 +67,10 @@
  * a row it sent data again; they take the place of sent_ms. request and
  * answer_delay_ms, which is how long the handshake took, tell how long a target
  * takes for a request. is_counted: the
- * flow is included in the open flows of its target. number identifies the
- * record in its pool. What each packet of an open flow uses stands first,
- * within one cache line.
+ * flow is included in the open flows of its target. has_opened: the flow was
+ * open here, so that its target is known though another node has taken it over
+ * since. number identifies the record in its pool. What each packet of an open
+ * flow uses stands first, within one cache line.
  */
 struct relay_flow {
 	_Alignas(CACHE_LINE_BYTES) struct hash128 hash;
@@ -88,7 +89,8 @@
 	uint8_t resent_count : 4;
 	uint8_t try_count;
 	uint8_t opening_bytes;
-	bool is_counted;
+	bool is_counted : 1;
+	bool has_opened : 1;
 	TAILQ_ENTRY(relay_flow) by_use;
 	TAILQ_ENTRY(relay_flow) by_sent;
 	uint8_t *opening;
--- a/core/src/relay/relay_established.c
+++ b/core/src/relay/relay_established.c
@@ -11,16 +11,17 @@
 #define DURATION_MAX_MS 5000
 
 /*
- * Makes a record that of a flow that another node opened, and reports that this
- * node now carries it.
+ * Makes a record that of a flow that another node has carried, and reports that
+ * this node now carries it. tag identifies the flow's target.
  */
 static void take_over(struct relay_director *director, struct relay_flow *flow,
-		      const struct relay_packet *packet, int64_t now_ms)
+		      const struct relay_packet *packet, uint32_t tag,
+		      int64_t now_ms)
 {
 	const struct relay_callbacks *callbacks = &director->options.callbacks;
 
 	relay_opening_remove_load(director, flow);
-	flow->tag = packet->tag;
+	flow->tag = tag;
 	flow->first_seen_ms = (uint32_t)now_ms;
 	flow->try_count = 0;
 	relay_flow_note_packet(flow, packet);
@@ -68,6 +69,14 @@
 	return was_counted;
 }
 
+/* Returns whether a flow that was open here comes back from another node. */
+static bool is_back(const struct relay_flow *flow,
+		    const struct relay_packet *packet)
+{
+	return flow->state == RELAY_FLOW_MOVED && flow->has_opened &&
+	       !packet->is_closing && !packet->is_reset;
+}
+
 /*
  * Returns the record of the packet's flow, or NULL if the packet goes by its
  * tag alone. A record of another flow between the same ports is replaced, but
@@ -83,8 +92,11 @@
 	struct relay_flow *flow =
 		relay_flow_table_find(director->flows, flow_hash);
 
-	if (flow && relay_flow_matches(flow, packet))
+	if (flow && relay_flow_matches(flow, packet)) {
+		if (is_back(flow, packet))
+			take_over(director, flow, packet, flow->tag, now_ms);
 		return flow;
+	}
 	if (packet->tag == RELAY_TAG_NONE || packet->is_reset)
 		return NULL;
 	if (packet->is_closing || (flow && flow->state == RELAY_FLOW_OPENING))
@@ -93,7 +105,7 @@
 		return NULL;
 	if (!flow)
 		flow = relay_flow_table_add(director->flows, flow_hash, now_ms);
-	take_over(director, flow, packet, now_ms);
+	take_over(director, flow, packet, packet->tag, now_ms);
 	return flow;
 }
 
--- a/core/src/relay/relay_flow_match.h
+++ b/core/src/relay/relay_flow_match.h
@@ -16,7 +16,8 @@
 static inline bool relay_flow_has_target(const struct relay_flow *flow)
 {
 	return flow->state == RELAY_FLOW_OPEN ||
-	       flow->state == RELAY_FLOW_CLOSED;
+	       flow->state == RELAY_FLOW_CLOSED ||
+	       (flow->state == RELAY_FLOW_MOVED && flow->has_opened);
 }
 
 /* Records the numbers of a packet of the flow. */
--- a/core/src/relay/relay_flow_table.c
+++ b/core/src/relay/relay_flow_table.c
@@ -173,6 +173,7 @@
 				struct relay_flow *flow, int64_t now_ms)
 {
 	change_state(table, flow, RELAY_FLOW_OPENING);
+	flow->has_opened = false;
 	flow->sent_ms = now_ms;
 	TAILQ_INSERT_TAIL(&table->by_sent, flow, by_sent);
 }
@@ -185,6 +186,8 @@
 	if (flow->state == RELAY_FLOW_OPEN && state != RELAY_FLOW_OPEN)
 		flow->sent_ms = flow->used_ms;
 	change_state(table, flow, state);
+	if (state == RELAY_FLOW_OPEN)
+		flow->has_opened = true;
 	if (state == RELAY_FLOW_OPEN || state == RELAY_FLOW_CLOSED)
 		forget_opening(flow);
 }
