Let copies of an opening packet go by the route in force

Cause: a flow's service was chosen at the first copy of its opening packet. Later copies only checked that there is a route.

Change: a copy of a flow that is not open here gets a service and a target by the present route if that no longer leads to the flow's service.

--- a/core/include/core/relay_route.h
+++ b/core/include/core/relay_route.h
@@ -37,4 +37,6 @@
 	struct relay_share shares[RELAY_SHARE_COUNT_MAX];
 };
 
+bool relay_route_leads_to(const struct relay_route *route, uint32_t service_id);
+
 #endif
--- a/core/src/base/reason.c
+++ b/core/src/base/reason.c
@@ -54,6 +54,7 @@
 	[REASON_IN_TURN] = "in_turn",
 	[REASON_STALE_PACKET] = "stale_packet",
 	[REASON_SETTLED] = "settled",
+	[REASON_ROUTE_CHANGED] = "route_changed",
 };
 
 /* Returns the name used in decision log lines and counters. */
--- a/core/src/relay/relay_opening.c
+++ b/core/src/relay/relay_opening.c
@@ -155,17 +155,37 @@
 	return verdict;
 }
 
+/*
+ * Gives a flow that is not open yet another service if its route no longer
+ * leads to the present one. Returns whether it did.
+ */
+static bool change_service(struct relay_director *director,
+			   struct relay_flow *flow,
+			   const struct relay_route *route)
+{
+	uint32_t service_id;
+
+	if (flow->state == RELAY_FLOW_OPEN ||
+	    relay_route_leads_to(route, flow->service_id))
+		return false;
+	service_id = relay_selection_pick_service(director, route);
+	if (service_id == flow->service_id)
+		return false;
+	flow->service_id = service_id;
+	return true;
+}
+
 /*
  * Handles an opening packet that the caller sent again. It goes to the same
  * target, whose answer may still be in transit, until the timeout has passed
- * without an answer or the zone of the target is evacuated; then to another
- * one. It is dropped if the target's warm-up does not allow it: the first copy
- * may still be answered.
+ * without an answer, the zone of the target is evacuated or the route leads to
+ * another service; then to another one. It is dropped if the target's warm-up
+ * does not allow it: the first copy may still be answered.
  */
 static struct relay_verdict
 handle_retransmission(struct relay_director *director, struct relay_flow *flow,
-		      const uint8_t *bytes, uint32_t length_bytes,
-		      int64_t now_ms)
+		      const struct relay_route *route, const uint8_t *bytes,
+		      uint32_t length_bytes, int64_t now_ms)
 {
 	struct relay_target *entry =
 		relay_directory_find(director->directory, flow->tag);
@@ -177,6 +197,9 @@
 
 	if (is_due && flow->state == RELAY_FLOW_OPENING)
 		record_timeout(director, flow, now_ms);
+	if (change_service(director, flow, route))
+		return assign_again(director, flow, bytes, length_bytes,
+				    REASON_ROUTE_CHANGED, now_ms);
 	if (!entry || is_due)
 		return assign_again(director, flow, bytes, length_bytes,
 				    REASON_UNANSWERED, now_ms);
@@ -271,7 +294,7 @@
 	if (flow && flow->sequence == packet->sequence) {
 		relay_flow_table_touch(director->flows, flow, now_ms);
 		relay_opening_renew(flow, packet, now_ms);
-		return handle_retransmission(director, flow, bytes,
+		return handle_retransmission(director, flow, route, bytes,
 					     length_bytes, now_ms);
 	}
 	return admit(director, flow, packet, route, bytes, length_bytes,
--- a/core/test/relay_step.h
+++ b/core/test/relay_step.h
@@ -28,6 +28,8 @@
 	CHANGES_SERVICE,
 	/* Routes of version a; b is whether the address has a route. */
 	ROUTES,
+	/* Version a leads the address to the other service. */
+	ROUTE_MOVES,
 	/* Caller a opens a flow; b is its sequence number. */
 	OPENS,
 	/*
--- a/core/test/relay_steps.h
+++ b/core/test/relay_steps.h
@@ -133,13 +133,16 @@
 {
 	struct relay_route_table *table =
 		relay_route_table_new(step->a, IDLE_TIMEOUT_MS);
-	struct relay_route route = {.share_count = 1,
-				    .shares = {{SERVICE_ID, 1}}};
+	struct relay_route route = {
+		.share_count = 1,
+		.shares = {{step->kind == ROUTE_MOVES ? OTHER_SERVICE_ID
+						      : SERVICE_ID,
+			    1}}};
 	struct relay_service service = {SERVICE_ID, WARMUP_MS,
 					WARMUP_PER_S_MILLI};
 
 	endpoint_parse(&route.address, "198.18.0.1:443");
-	if (step->b)
+	if (step->b || step->kind == ROUTE_MOVES)
 		ck_assert(relay_route_table_add(table, &route));
 	ck_assert(relay_route_table_add_service(table, &service));
 	relay_director_set_routes(director, table);
@@ -257,6 +260,7 @@
 		relay_director_set_node_count(director, (uint32_t)step->a);
 		break;
 	case ROUTES:
+	case ROUTE_MOVES:
 		set_routes(director, step);
 		break;
 	case MOVED:
