Let a route have any number of services

Cause: the decoder refused more than eight services, which is the size of an array, and with them the whole configuration.

Change: a route refers to its shares, which its table owns.

That one route which can't be read refuses all others is unchanged.

--- a/core/include/core/relay_route.h
+++ b/core/include/core/relay_route.h
@@ -3,7 +3,8 @@
 
 #include <core/endpoint.h>
 
-#define RELAY_SHARE_COUNT_MAX 8
+/* Maximum sum of the weights of a route's shares. */
+#define RELAY_SHARE_WEIGHT_MAX 1000000000
 
 /* A service that receives a weighted share of a route's new flows. */
 struct relay_share {
@@ -25,7 +26,8 @@
  * The services that new flows to one address are distributed to, and the class
  * of the requests that they carry. timeout_ms is how long a request may take,
  * objective_ms its latency objective; each is 0 if the configuration does not
- * state it. priority 0 is the highest.
+ * state it. priority 0 is the highest. shares are share_count services; who
+ * made the route owns them.
  */
 struct relay_route {
 	struct endpoint address;
@@ -34,7 +36,7 @@
 	uint32_t objective_ms;
 	uint32_t priority;
 	uint32_t share_count;
-	struct relay_share shares[RELAY_SHARE_COUNT_MAX];
+	const struct relay_share *shares;
 };
 
 bool relay_route_leads_to(const struct relay_route *route, uint32_t service_id);
--- a/core/include/core/relay_route_explanation.h
+++ b/core/include/core/relay_route_explanation.h
@@ -46,7 +46,7 @@
 	bool has_record;
 	struct relay_route_record record;
 	uint32_t service_count;
-	struct relay_service_explanation services[RELAY_SHARE_COUNT_MAX];
+	struct relay_service_explanation *services;
 };
 
 struct relay_route_explanation *
--- a/core/src/relay/relay_route_explanation.c
+++ b/core/src/relay/relay_route_explanation.c
@@ -280,6 +280,8 @@
 		describe_record(explanation, director, flow, now_ms);
 	explanation->kind = route->kind;
 	explanation->service_count = route->share_count;
+	explanation->services =
+		g_new0(struct relay_service_explanation, route->share_count);
 	for (uint32_t i = 0; i < route->share_count; i++) {
 		struct relay_service_explanation *service =
 			&explanation->services[i];
@@ -324,5 +326,6 @@
 		return;
 	for (uint32_t i = 0; i < explanation->service_count; i++)
 		g_array_free(explanation->services[i].candidates, TRUE);
+	g_free(explanation->services);
 	g_free(explanation);
 }
--- a/core/src/relay/relay_route_table.c
+++ b/core/src/relay/relay_route_table.c
@@ -1,6 +1,7 @@
 #include <core/relay_route_table.h>
 
 #include <glib.h>
+#include <string.h>
 
 /*
  * Maximum number of addresses of removed routes that are kept. Their flows end
@@ -9,7 +10,14 @@
  */
 #define REMOVED_COUNT_MAX 256
 
+/* A route of a table, which owns the shares with it. */
+struct owned_route {
+	struct relay_route route;
+	struct relay_share shares[];
+};
+
 struct relay_route_table {
+	/* Maps the addresses of routes to struct owned_route. */
 	GHashTable *routes;
 	/* Addresses without a route that had one in an earlier version. */
 	GHashTable *removed;
@@ -60,9 +68,20 @@
 	g_free(table);
 }
 
+static struct relay_route *copy_route(const struct relay_route *route)
+{
+	size_t shares_bytes = route->share_count * sizeof(*route->shares);
+	struct owned_route *copy = g_malloc(sizeof(*copy) + shares_bytes);
+
+	copy->route = *route;
+	copy->route.shares = copy->shares;
+	memcpy(copy->shares, route->shares, shares_bytes);
+	return &copy->route;
+}
+
 /*
- * Adds a copy of a route. Returns false if the route has no shares, or if its
- * address already has a route, which stays.
+ * Adds a copy of a route and of its shares. Returns false if the route has no
+ * shares, or if its address already has a route, which stays.
  */
 bool relay_route_table_add(struct relay_route_table *table,
 			   const struct relay_route *route)
@@ -76,7 +95,7 @@
 	    route->priority != table->priority)
 		table->has_classes = true;
 	table->priority = route->priority;
-	copy = g_memdup2(route, sizeof(*route));
+	copy = copy_route(route);
 	g_hash_table_insert(table->routes, &copy->address, copy);
 	return true;
 }
--- a/core/test/cold_fleet.h
+++ b/core/test/cold_fleet.h
@@ -202,8 +202,9 @@
 {
 	struct relay_route_table *table =
 		relay_route_table_new(1, IDLE_TIMEOUT_MS);
-	struct relay_route route = {.share_count = 1,
-				    .shares = {{SERVICE_ID, 1}}};
+	struct relay_route route = {
+		.share_count = 1,
+		.shares = (struct relay_share[]){{SERVICE_ID, 1}}};
 	struct relay_service service = {
 		.service_id = SERVICE_ID,
 		.warmup_ms = node->fleet->row->warmup_ms,
--- a/core/test/relay_room_callers.h
+++ b/core/test/relay_room_callers.h
@@ -130,11 +130,12 @@
 	struct relay_route_table *table = relay_route_table_new(version, 60000);
 
 	for (uint32_t i = 0; i < ROUTE_COUNT; i++) {
-		struct relay_route route = {.address = route_address(i),
-					    .priority = loads[i].priority,
-					    .timeout_ms = TIMEOUT_MS,
-					    .share_count = 1,
-					    .shares = {{SERVICE_ID, 1}}};
+		struct relay_route route = {
+			.address = route_address(i),
+			.priority = loads[i].priority,
+			.timeout_ms = TIMEOUT_MS,
+			.share_count = 1,
+			.shares = (struct relay_share[]){{SERVICE_ID, 1}}};
 
 		ck_assert(relay_route_table_add(table, &route));
 	}
--- a/core/test/relay_route_trace_test.c
+++ b/core/test/relay_route_trace_test.c
@@ -30,7 +30,8 @@
 		relay_route_table_new(1, IDLE_TIMEOUT_MS);
 	struct relay_route route = {
 		.share_count = asked_rows[row].is_split ? 2 : 1,
-		.shares = {{SERVICE_ID, 2}, {OTHER_SERVICE_ID, 1}}};
+		.shares = (struct relay_share[]){{SERVICE_ID, 2},
+						 {OTHER_SERVICE_ID, 1}}};
 	const struct relay_service service = {SERVICE_ID, WARMUP_MS, 2000};
 	const struct step lists = {0, LISTS, 0, 0, NOTHING};
 
--- a/core/test/relay_stall_test.c
+++ b/core/test/relay_stall_test.c
@@ -222,7 +222,9 @@
 	struct relay_director *director = relay_director_new(&options);
 	struct relay_route_table *table = relay_route_table_new(1, 60000);
 	struct relay_route route = {
-		.kind = kind, .share_count = 1, .shares = {{SERVICE_ID, 1}}};
+		.kind = kind,
+		.share_count = 1,
+		.shares = (struct relay_share[]){{SERVICE_ID, 1}}};
 	struct target target = {.target_id = TARGET,
 				.incarnation = 1,
 				.service_id = SERVICE_ID,
--- a/core/test/relay_steps.h
+++ b/core/test/relay_steps.h
@@ -135,9 +135,10 @@
 		relay_route_table_new(step->a, IDLE_TIMEOUT_MS);
 	struct relay_route route = {
 		.share_count = 1,
-		.shares = {{step->kind == ROUTE_MOVES ? OTHER_SERVICE_ID
-						      : SERVICE_ID,
-			    1}}};
+		.shares = (struct relay_share[]){{step->kind == ROUTE_MOVES
+							  ? OTHER_SERVICE_ID
+							  : SERVICE_ID,
+						  1}}};
 	struct relay_service service = {SERVICE_ID, WARMUP_MS,
 					WARMUP_PER_S_MILLI};
 
--- a/ctl/src/decide_relay.c
+++ b/ctl/src/decide_relay.c
@@ -66,7 +66,8 @@
 		relay_route_table_new(1, IDLE_TIMEOUT_MS);
 	struct relay_route route = {
 		.share_count = 1,
-		.shares = {{service_id_from_name("s"), 1}},
+		.shares =
+			(struct relay_share[]){{service_id_from_name("s"), 1}},
 	};
 
 	endpoint_parse(&route.address, SERVICE_ADDRESS);
--- a/ctl/src/decide_relay_ticks.c
+++ b/ctl/src/decide_relay_ticks.c
@@ -76,7 +76,7 @@
 		struct relay_route route = {
 			.priority = i,
 			.share_count = 1,
-			.shares = {{service_of(i), 1}},
+			.shares = (struct relay_share[]){{service_of(i), 1}},
 		};
 
 		endpoint_parse(&route.address, addresses[i]);
