--- a/core/include/core/relay_message.h
+++ b/core/include/core/relay_message.h
@@ -21,8 +21,7 @@
 	RELAY_MESSAGE_ZONE,
 	/* What the sender sees of a target that may be silent. */
 	RELAY_MESSAGE_TARGET,
-	/* Flows that the sender opened, but whose next packet it did not see.
-	 */
+	/* Flows that the sender opened and that another node may have. */
 	RELAY_MESSAGE_SOUGHT,
 	/* Flows that were sought and that the sender has. */
 	RELAY_MESSAGE_FOUND,
--- a/core/src/relay/relay_director.c
+++ b/core/src/relay/relay_director.c
@@ -151,6 +151,19 @@
 	g_free(director);
 }
 
+/* Returns the hash of a packet's flow, which is the same on all nodes. */
+struct hash128 relay_packet_flow_hash(const struct relay_director *director,
+				      const struct relay_packet *packet)
+{
+	const struct flow_key key = {
+		.caller = packet->caller,
+		.service = packet->service,
+		.protocol = FLOW_PROTOCOL_UDP,
+	};
+
+	return flow_key_hash(&key, director->options.flow_seed);
+}
+
 /* Decides what to do with a packet; bytes is the whole packet as received. */
 struct relay_verdict relay_director_handle_packet(
 	struct relay_director *director, const struct relay_packet *packet,
@@ -194,7 +207,7 @@
 
 	while ((flow = relay_flow_table_lru_counted(director->flows)) &&
 	       now_ms - flow->used_ms >= COUNTED_IDLE_MS)
-		relay_opening_remove_load(director, flow);
+		relay_flow_load_remove(director, flow);
 	while ((flow = relay_flow_table_lru_closed(director->flows)) &&
 	       now_ms - flow->used_ms >= kept_ms)
 		relay_flow_table_remove(director->flows, flow);
--- a/core/src/relay/relay_director_state.h
+++ b/core/src/relay/relay_director_state.h
@@ -59,10 +59,10 @@
 				 int64_t now_ms);
 void relay_isolation_evidence_update(struct relay_director *director,
 				     int64_t now_ms);
-void relay_opening_add_load(struct relay_director *director,
+void relay_flow_load_add(struct relay_director *director,
+			 struct relay_flow *flow);
+void relay_flow_load_remove(struct relay_director *director,
 			    struct relay_flow *flow);
-void relay_opening_remove_load(struct relay_director *director,
-			       struct relay_flow *flow);
 struct hash128 relay_packet_flow_hash(const struct relay_director *director,
 				      const struct relay_packet *packet);
 struct relay_verdict relay_verdict_reject(enum relay_action action,
--- a/core/src/relay/relay_established.c
+++ b/core/src/relay/relay_established.c
@@ -20,7 +20,7 @@
 {
 	const struct relay_callbacks *callbacks = &director->options.callbacks;
 
-	relay_opening_remove_load(director, flow);
+	relay_flow_load_remove(director, flow);
 	flow->tag = tag;
 	flow->first_seen_ms = (uint32_t)now_ms;
 	flow->try_count = 0;
@@ -28,7 +28,7 @@
 	relay_flow_table_set_state(director->flows, flow, RELAY_FLOW_OPEN);
 	relay_stall_begin(flow, packet);
 	relay_request_take_over(flow);
-	relay_opening_add_load(director, flow);
+	relay_flow_load_add(director, flow);
 	callbacks->flow_moved(callbacks->context, flow->hash, flow->tag);
 }
 
@@ -43,10 +43,10 @@
 {
 	relay_settlement_tell_targets(director, flow, tag, now_ms);
 	if (tag != flow->tag) {
-		relay_opening_remove_load(director, flow);
+		relay_flow_load_remove(director, flow);
 		flow->tag = tag;
 		flow->try_count = RELAY_TRY_COUNT_MAX;
-		relay_opening_add_load(director, flow);
+		relay_flow_load_add(director, flow);
 	}
 	relay_opening_record_answer(director, flow, now_ms);
 }
@@ -64,7 +64,7 @@
 
 	if (!packet->is_closing && !packet->is_reset)
 		return false;
-	relay_opening_remove_load(director, flow);
+	relay_flow_load_remove(director, flow);
 	relay_flow_table_set_state(director->flows, flow, RELAY_FLOW_CLOSED);
 	return was_counted;
 }
@@ -184,7 +184,7 @@
 		relay_verdict_reject(RELAY_RESET, REASON_TARGET_LOST);
 
 	verdict.target_id = entry->target.target_id;
-	relay_opening_remove_load(director, flow);
+	relay_flow_load_remove(director, flow);
 	return verdict;
 }
 
--- a/core/src/relay/relay_flow_search.c
+++ b/core/src/relay/relay_flow_search.c
@@ -18,7 +18,7 @@
 {
 	if (is_unsettled(flow) && tag != RELAY_TAG_NONE)
 		relay_settlement_tell_targets(director, flow, tag, now_ms);
-	relay_opening_remove_load(director, flow);
+	relay_flow_load_remove(director, flow);
 	relay_flow_table_set_state(director->flows, flow, RELAY_FLOW_MOVED);
 }
 
--- a/core/src/relay/relay_opening.c
+++ b/core/src/relay/relay_opening.c
@@ -27,7 +27,7 @@
 static void end_opening(struct relay_director *director,
 			struct relay_flow *flow, int64_t now_ms)
 {
-	relay_opening_remove_load(director, flow);
+	relay_flow_load_remove(director, flow);
 	relay_flow_table_set_state(director->flows, flow, RELAY_FLOW_ENDED);
 	if (flow->try_count > 0)
 		relay_sought_add(director->sought, flow->hash, now_ms);
@@ -72,7 +72,7 @@
 		return refuse(director, flow, now_ms);
 	if (reason == REASON_LEAST_LOADED && director->is_in_turn)
 		reason = REASON_IN_TURN;
-	relay_opening_remove_load(director, flow);
+	relay_flow_load_remove(director, flow);
 	relay_verdict_set_target(&verdict, entry, reason);
 	verdict.is_cold = relay_cold_targets_use(director, entry, now_ms);
 	verdict.cost_milli = relay_target_cost_milli(entry, now_ms);
@@ -80,7 +80,7 @@
 	if (flow->try_count < RELAY_TRY_COUNT_MAX)
 		flow->tried_tags[flow->try_count++] = entry->tag;
 	verdict.try_count = flow->try_count;
-	relay_opening_add_load(director, flow);
+	relay_flow_load_add(director, flow);
 	relay_flow_table_mark_sent(director->flows, flow, now_ms);
 	return verdict;
 }
@@ -114,7 +114,7 @@
 				      uint32_t service_id, const uint8_t *bytes,
 				      uint32_t length_bytes, int64_t now_ms)
 {
-	relay_opening_remove_load(director, flow);
+	relay_flow_load_remove(director, flow);
 	flow->tag = RELAY_TAG_NONE;
 	flow->sequence = packet->sequence;
 	relay_flow_note_packet(flow, packet);
@@ -222,7 +222,7 @@
 
 	if (relay_flow_table_is_full(director->flows)) {
 		evicted = relay_flow_table_eviction_candidate(director->flows);
-		relay_opening_remove_load(director, evicted);
+		relay_flow_load_remove(director, evicted);
 		relay_flow_table_remove(director->flows, evicted);
 	}
 	return relay_flow_table_add(director->flows, flow_hash, now_ms);
@@ -234,7 +234,7 @@
 				      enum reason reason)
 {
 	if (flow) {
-		relay_opening_remove_load(director, flow);
+		relay_flow_load_remove(director, flow);
 		relay_flow_table_remove(director->flows, flow);
 	}
 	return (struct relay_verdict){.action = RELAY_RESET,
