--- a/core/test/relay_settlement_test.c
+++ b/core/test/relay_settlement_test.c
@@ -4,6 +4,16 @@
  */
 #include "relay_steps.h"
 
+/* Caller 1's flow is sent to A and, unanswered, to C. */
+#define SENT_TWICE                                                             \
+	{0, SERVES, TARGET_A, OWN_ZONE, NOTHING},                              \
+		{0, SERVES, TARGET_C, OTHER_ZONE, NOTHING},                    \
+		{0, ROUTES, 1, true, NOTHING},                                 \
+		{1, OPENS, 1, 5, TO(TARGET_A, REASON_LEAST_LOADED)},           \
+	{                                                                      \
+		31, TICKS, 0, 0, TO(TARGET_C, REASON_UNANSWERED)               \
+	}
+
 static const struct {
 	const char *name;
 	struct step steps[STEP_COUNT_MAX];
@@ -15,27 +25,15 @@
 	  {9, SENDS, 1, TARGET_A, TO(TARGET_A, REASON_TAG)},
 	  {9, TOLD, 0, 0, NOTHING}}},
 	{"first-target-is-told-that-the-second-has-the-flow",
-	 {{0, SERVES, TARGET_A, OWN_ZONE, NOTHING},
-	  {0, SERVES, TARGET_C, OTHER_ZONE, NOTHING},
-	  {0, ROUTES, 1, true, NOTHING},
-	  {1, OPENS, 1, 5, TO(TARGET_A, REASON_LEAST_LOADED)},
-	  {31, TICKS, 0, 0, TO(TARGET_C, REASON_UNANSWERED)},
+	 {SENT_TWICE,
 	  {39, SENDS, 1, TARGET_C, TO(TARGET_C, REASON_TAG)},
 	  {39, TOLD, TARGET_A, TARGET_C, NOTHING}}},
 	{"second-target-is-told-that-the-first-has-the-flow",
-	 {{0, SERVES, TARGET_A, OWN_ZONE, NOTHING},
-	  {0, SERVES, TARGET_C, OTHER_ZONE, NOTHING},
-	  {0, ROUTES, 1, true, NOTHING},
-	  {1, OPENS, 1, 5, TO(TARGET_A, REASON_LEAST_LOADED)},
-	  {31, TICKS, 0, 0, TO(TARGET_C, REASON_UNANSWERED)},
+	 {SENT_TWICE,
 	  {39, SENDS, 1, TARGET_A, TO(TARGET_A, REASON_TAG)},
 	  {39, TOLD, TARGET_C, TARGET_A, NOTHING}}},
 	{"targets-are-told-once",
-	 {{0, SERVES, TARGET_A, OWN_ZONE, NOTHING},
-	  {0, SERVES, TARGET_C, OTHER_ZONE, NOTHING},
-	  {0, ROUTES, 1, true, NOTHING},
-	  {1, OPENS, 1, 5, TO(TARGET_A, REASON_LEAST_LOADED)},
-	  {31, TICKS, 0, 0, TO(TARGET_C, REASON_UNANSWERED)},
+	 {SENT_TWICE,
 	  {39, SENDS, 1, TARGET_C, TO(TARGET_C, REASON_TAG)},
 	  {39, TOLD, TARGET_A, TARGET_C, NOTHING},
 	  {40, SENDS, 1, TARGET_A, TO(TARGET_C, REASON_TAG)},
@@ -49,11 +47,7 @@
 	  {9, SENDS, 1, TARGET_C, TO(TARGET_C, REASON_TAG)},
 	  {9, TOLD, TARGET_A, TARGET_C, NOTHING}}},
 	{"nobody-is-told-after-the-caller-has-given-up",
-	 {{0, SERVES, TARGET_A, OWN_ZONE, NOTHING},
-	  {0, SERVES, TARGET_C, OTHER_ZONE, NOTHING},
-	  {0, ROUTES, 1, true, NOTHING},
-	  {1, OPENS, 1, 5, TO(TARGET_A, REASON_LEAST_LOADED)},
-	  {31, TICKS, 0, 0, TO(TARGET_C, REASON_UNANSWERED)},
+	 {SENT_TWICE,
 	  {1401, SENDS, 1, TARGET_C, TO(TARGET_C, REASON_TAG)},
 	  {1401, TOLD, 0, 0, NOTHING}}},
 };
--- a/daemon/test/lost_zone_test.c
+++ b/daemon/test/lost_zone_test.c
@@ -7,10 +7,8 @@
 #include "relay_fixture.h"
 
 #include <core/relay_tag.h>
-#include <daemon/shallotd.h>
 #include <fakes/test_main.h>
 #include <netinet/in.h>
-#include <platform/echo_packet.h>
 #include <poll.h>
 #include <signal.h>
 #include <string.h>
@@ -76,30 +74,13 @@
 	g_free(text);
 }
 
-static void add_target(struct fixture *fixture, uint32_t number)
-{
-	struct endpoint target = loopback_free_endpoint();
-	char address[ENDPOINT_TEXT_BYTES];
-	char *key = g_strdup_printf("servers/i-%x", TARGET_ID_FIRST + number);
-	char *text = g_strdup_printf(
-		"{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"north-b\","
-		"\"concurrency\":3,\"state\":\"ready\","
-		"\"warmupRemainingMs\":0,\"version\":\"v1\",\"sequence\":1,"
-		"\"born\":1700000000123}",
-		endpoint_format(&target, address));
-
-	fixture->target_fds[number] = relay_fixture_bind_udp(&target);
-	fake_kv_put(fixture->kv, key, text);
-	g_free(text);
-	g_free(key);
-}
-
 /* Callers receive on the same port that nodes listen on. */
 static void setup(struct fixture *fixture, const char *kind)
 {
-	static char *const names[NODE_COUNT] = {"node-a", "node-b", "node-c"};
-	static char *const zones[NODE_COUNT] = {"north-a", "north-b",
-						"north-c"};
+	static const char *const names[NODE_COUNT] = {"node-a", "node-b",
+						      "node-c"};
+	static const char *const zones[NODE_COUNT] = {"north-a", "north-b",
+						      "north-c"};
 	struct endpoint caller = {.addr = loopback_second_addr()};
 
 	memset(fixture, 0, sizeof(*fixture));
@@ -107,16 +88,11 @@
 	fixture->kv = relay_fixture_start_store();
 	write_config(fixture->kv, kind);
 	for (uint32_t i = 0; i < TARGET_COUNT; i++)
-		add_target(fixture, i);
-	for (uint32_t i = 0; i < NODE_COUNT; i++) {
-		GError *error = NULL;
-
-		fixture->settings[i] =
-			relay_fixture_settings(names[i], fixture->kv);
-		fixture->settings[i].zone = zones[i];
-		fixture->nodes[i] = shallotd_new(&fixture->settings[i], &error);
-		ck_assert_msg(!error, "%s", error ? error->message : "");
-	}
+		fixture->target_fds[i] = relay_fixture_add_target(
+			fixture->kv, TARGET_ID_FIRST + i, "north-b");
+	for (uint32_t i = 0; i < NODE_COUNT; i++)
+		fixture->nodes[i] = relay_fixture_start_node(
+			&fixture->settings[i], names[i], zones[i], fixture->kv);
 	caller.port = fixture->settings[0].listen_packets.port;
 	fixture->caller_fd = relay_fixture_bind_udp(&caller);
 }
@@ -141,19 +117,13 @@
 			uint8_t payload, uint8_t acknowledged, uint32_t tag)
 {
 	uint8_t bytes[ECHO_PACKET_HEADER_BYTES + PAYLOAD_BYTES] = {0};
-	struct relay_packet reversed = {.tag = 0};
 	struct sockaddr_storage storage;
 	socklen_t length = sock_addr_from_endpoint(
 		&storage, &fixture->settings[0].listen_packets);
 
-	reversed.service.addr = loopback_second_addr();
-	reversed.service.port = (uint16_t)port;
-	endpoint_parse(&reversed.caller, "198.18.0.1:443");
-	echo_packet_write_reset(bytes, &reversed);
-	bytes[0] = flags;
+	relay_fixture_write_packet(bytes, (uint16_t)port, flags, tag);
 	bytes[OFFSET_LENGTH] = payload;
 	bytes[OFFSET_ACKNOWLEDGED] = acknowledged;
-	echo_packet_set_tag(bytes, tag);
 	sendto(fixture->caller_fd, bytes, ECHO_PACKET_HEADER_BYTES + payload, 0,
 	       (struct sockaddr *)&storage, length);
 }
--- a/daemon/test/taken_flow_test.c
+++ b/daemon/test/taken_flow_test.c
@@ -7,9 +7,7 @@
 #include "relay_fixture.h"
 
 #include <core/relay_tag.h>
-#include <daemon/shallotd.h>
 #include <fakes/test_main.h>
-#include <platform/echo_packet.h>
 #include <poll.h>
 #include <signal.h>
 #include <string.h>
@@ -40,43 +38,20 @@
 	int caller_fd;
 };
 
-static void add_target(struct fixture *fixture, uint32_t number)
-{
-	struct endpoint target = loopback_free_endpoint();
-	char address[ENDPOINT_TEXT_BYTES];
-	char *key = g_strdup_printf("servers/i-%x", TARGET_ID_FIRST + number);
-	char *text = g_strdup_printf(
-		"{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"north-a\","
-		"\"concurrency\":3,\"state\":\"ready\","
-		"\"warmupRemainingMs\":0,\"version\":\"v1\",\"sequence\":1,"
-		"\"born\":1700000000123}",
-		endpoint_format(&target, address));
-
-	fixture->target_fds[number] = relay_fixture_bind_udp(&target);
-	fake_kv_put(fixture->kv, key, text);
-	g_free(text);
-	g_free(key);
-}
-
 static void setup(struct fixture *fixture, const char *const *zones)
 {
-	static char *const names[NODE_COUNT] = {"node-a", "node-b"};
+	static const char *const names[NODE_COUNT] = {"node-a", "node-b"};
 	struct endpoint caller = {.addr = loopback_second_addr()};
 
 	memset(fixture, 0, sizeof(*fixture));
 	fixture->kv = relay_fixture_start_store();
 	relay_fixture_write_config(fixture->kv, 1);
 	for (uint32_t i = 0; i < TARGET_COUNT; i++)
-		add_target(fixture, i);
-	for (uint32_t i = 0; i < NODE_COUNT; i++) {
-		GError *error = NULL;
-
-		fixture->settings[i] =
-			relay_fixture_settings(names[i], fixture->kv);
-		fixture->settings[i].zone = (char *)zones[i];
-		fixture->nodes[i] = shallotd_new(&fixture->settings[i], &error);
-		ck_assert_msg(!error, "%s", error ? error->message : "");
-	}
+		fixture->target_fds[i] = relay_fixture_add_target(
+			fixture->kv, TARGET_ID_FIRST + i, "north-a");
+	for (uint32_t i = 0; i < NODE_COUNT; i++)
+		fixture->nodes[i] = relay_fixture_start_node(
+			&fixture->settings[i], names[i], zones[i], fixture->kv);
 	caller.port = fixture->settings[0].listen_packets.port;
 	fixture->caller_fd = relay_fixture_bind_udp(&caller);
 }
@@ -95,17 +70,11 @@
 			uint16_t port, uint8_t flags, uint32_t tag)
 {
 	uint8_t bytes[ECHO_PACKET_HEADER_BYTES] = {0};
-	struct relay_packet reversed = {.tag = 0};
 	struct sockaddr_storage storage;
 	socklen_t length = sock_addr_from_endpoint(
 		&storage, &fixture->settings[node].listen_packets);
 
-	reversed.service.addr = loopback_second_addr();
-	reversed.service.port = port;
-	endpoint_parse(&reversed.caller, "198.18.0.1:443");
-	echo_packet_write_reset(bytes, &reversed);
-	bytes[0] = flags;
-	echo_packet_set_tag(bytes, tag);
+	relay_fixture_write_packet(bytes, port, flags, tag);
 	sendto(fixture->caller_fd, bytes, sizeof(bytes), 0,
 	       (struct sockaddr *)&storage, length);
 }
